--- /dev/null
+++ b/damaskramp/balancing/__init__.py
@@ -0,0 +1,6 @@
+"""Which backend server a call goes to."""
+
+from damaskramp.balancing.balancer import Attempt, AttemptResult, LoadBalancer
+from damaskramp.balancing.round_robin import RoundRobin
+
+__all__ = ["Attempt", "AttemptResult", "LoadBalancer", "RoundRobin"]
--- /dev/null
+++ b/damaskramp/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the programs."""
--- /dev/null
+++ b/damaskramp/cli/node.py
@@ -0,0 +1,67 @@
+"""``damaskramp-node``: the process on each backend server host."""
+
+import asyncio
+import logging
+import signal
+import sys
+from collections.abc import Sequence
+
+from absl import flags
+
+from damaskramp.cli.common import ExitCode, fail, run_program, set_up_logs
+from damaskramp.config import NodeSettings, load_toml
+from damaskramp.core import Place
+from damaskramp.node import Node
+
+__all__ = ["main"]
+
+USAGE = """
+damaskramp-node --settings=FILE
+
+Takes calls from callers and from its own backend server, admits them, and routes
+them to the node beside the chosen backend server. SIGTERM or SIGINT stops it once
+running calls have ended.
+
+Exit codes: 0 stopped as asked, 1 an address could not be used or calls were cut
+when the drain time ended, 2 bad command line or settings.
+"""
+
+FLAGS = flags.FlagValues()
+flags.DEFINE_string("settings", "", "TOML file with the settings", flag_values=FLAGS)
+flags.DEFINE_bool("check", False, "check the settings and exit", flag_values=FLAGS)
+
+LOGGER = logging.getLogger(__name__)
+
+
+def main() -> None:
+    """Run the program."""
+    run_program("damaskramp-node", USAGE, _main, FLAGS)
+
+
+def _main(arguments: Sequence[str]) -> int:
+    if arguments:
+        return fail(f"damaskramp-node: unexpected argument {arguments[0]!r}")
+    if not FLAGS.settings:
+        return fail("damaskramp-node: --settings is required")
+    loaded = load_toml(FLAGS.settings, NodeSettings)
+    if loaded.is_error():
+        return fail(loaded.error)
+    if FLAGS.check:
+        return ExitCode.OK
+    set_up_logs(loaded.ok.log.level)
+    return asyncio.run(_serve(loaded.ok, FLAGS.settings))
+
+
+async def _serve(settings: NodeSettings, path: str) -> int:
+    node = Node(settings)
+    try:
+        await node.start()
+    except OSError as error:
+        print(f"{Place(path, 'listen')}: {error}", file=sys.stderr)
+        return ExitCode.FAILED
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+    return ExitCode.OK if await node.stop() else ExitCode.FAILED
--- /dev/null
+++ b/damaskramp/config/__init__.py
@@ -0,0 +1,24 @@
+"""TOML input checked as a whole, and the settings of the node."""
+
+from damaskramp.config.settings import (
+    Address,
+    BackendSettings,
+    LimitSettings,
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+    Settings,
+)
+from damaskramp.config.toml_input import load_toml, parse_toml
+
+__all__ = [
+    "Address",
+    "BackendSettings",
+    "LimitSettings",
+    "ListenSettings",
+    "NodeSettings",
+    "PlatformSettings",
+    "Settings",
+    "load_toml",
+    "parse_toml",
+]
--- /dev/null
+++ b/damaskramp/config/settings.py
@@ -0,0 +1,132 @@
+"""Settings of ``damaskramp-node``."""
+
+import ipaddress
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, field_validator
+
+__all__ = [
+    "Address",
+    "BackendSettings",
+    "LimitSettings",
+    "ListenSettings",
+    "LogSettings",
+    "NodeIdentity",
+    "NodeSettings",
+    "PlatformSettings",
+    "Settings",
+    "TrustSettings",
+]
+
+MIB = 1024 * 1024
+
+
+class Settings(BaseModel):
+    """Base of all settings: immutable, unknown keys refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError("must be an IP address and a port, as 10.0.0.1:8080") from None
+    if not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError("port must be a number from 0 to 65535")
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+"""``IP:PORT`` as text."""
+
+Name = Annotated[str, Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+"""Short identifier of letters, digits, dot, underscore and hyphen."""
+
+PositiveSeconds = Annotated[float, Field(gt=0, strict=False)]
+
+
+class NodeIdentity(Settings):
+    """Who this node is.
+
+    Attributes
+    ----------
+    host : str
+        Name of the backend server host.
+    zone : str
+        Availability zone that the host stands in.
+    """
+
+    host: Name
+    zone: Name
+
+
+class ListenSettings(Settings):
+    """Addresses that the node listens on."""
+
+    http: Address
+    peer: Address
+    admin: Address
+
+
+class BackendSettings(Settings):
+    """The backend server on this host."""
+
+    service: Name
+    address: Address
+
+
+class PlatformSettings(Settings):
+    """Where the platform publishes configuration and hosts."""
+
+    address: Address
+    bundle_name: Name = "bundle"
+    watch_seconds: PositiveSeconds = 25.0
+    hosts_poll_seconds: PositiveSeconds = 2.0
+    retry_seconds: PositiveSeconds = 1.0
+
+
+class TrustSettings(Settings):
+    """Public keys whose signature makes a bundle valid."""
+
+    public_keys: Annotated[tuple[str, ...], Field(min_length=1, strict=False)]
+
+    @field_validator("public_keys")
+    @classmethod
+    def _check_keys(cls, keys: tuple[str, ...]) -> tuple[str, ...]:
+        for key in keys:
+            if len(key) != 64 or not set(key) <= set("0123456789abcdef"):
+                raise ValueError("each key must be 64 hexadecimal digits")
+        return keys
+
+
+class LimitSettings(Settings):
+    """Bounds on what one node holds."""
+
+    connections: Annotated[int, Field(gt=0)] = 1024
+    body_bytes: Annotated[int, Field(gt=0)] = 4 * MIB
+    whole_answer_bytes: Annotated[int, Field(gt=0)] = 1 * MIB
+    header_bytes: Annotated[int, Field(gt=0)] = 16 * 1024
+    header_seconds: PositiveSeconds = 10.0
+    idle_seconds: PositiveSeconds = 75.0
+    drain_seconds: PositiveSeconds = 20.0
+    depth: Annotated[int, Field(gt=0, le=64)] = 32
+
+
+class LogSettings(Settings):
+    """Logging."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class NodeSettings(Settings):
+    """All settings of one node."""
+
+    node: NodeIdentity
+    listen: ListenSettings
+    backend: BackendSettings | None = None
+    platform: PlatformSettings
+    trust: TrustSettings
+    limits: LimitSettings = LimitSettings()
+    log: LogSettings = LogSettings()
--- /dev/null
+++ b/damaskramp/core/__init__.py
@@ -0,0 +1,39 @@
+"""Types that every other package shares: ids, states, findings, time."""
+
+from damaskramp.core.blackboard import Blackboard, Section
+from damaskramp.core.findings import Finding, Findings, Place, Severity
+from damaskramp.core.ids import (
+    BundleVersion,
+    HostId,
+    Incarnation,
+    KeyDigest,
+    RequestId,
+    ServiceName,
+    TeamId,
+    ZoneName,
+)
+from damaskramp.core.outcomes import Outcome, Reason
+from damaskramp.core.timers import LoopTimers, TimerHandle, TimerService, VirtualTimers
+
+__all__ = [
+    "Blackboard",
+    "BundleVersion",
+    "Finding",
+    "Findings",
+    "HostId",
+    "Incarnation",
+    "KeyDigest",
+    "LoopTimers",
+    "Outcome",
+    "Place",
+    "Reason",
+    "RequestId",
+    "Section",
+    "ServiceName",
+    "Severity",
+    "TeamId",
+    "TimerHandle",
+    "TimerService",
+    "VirtualTimers",
+    "ZoneName",
+]
--- /dev/null
+++ b/damaskramp/core/timers.py
@@ -0,0 +1,143 @@
+"""Time as a service that parts subscribe to.
+
+Parts never read a clock or sleep by themselves. They hold a `TimerService`:
+`LoopTimers` in the daemons, `VirtualTimers` in tests and embeddings that bring
+their own time.
+
+Examples
+--------
+>>> timers = VirtualTimers()
+>>> ticks = []
+>>> handle = timers.every(2.0, lambda: ticks.append(timers.now))
+>>> timers.advance(5.0)
+>>> ticks
+[2.0, 4.0]
+>>> handle.cancel()
+"""
+
+import asyncio
+import heapq
+import itertools
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+__all__ = ["LoopTimers", "TimerHandle", "TimerService", "VirtualTimers"]
+
+Callback = Callable[[], None]
+
+
+class TimerHandle:
+    """Subscription that can be cancelled."""
+
+    def __init__(self) -> None:
+        self._cancelled = False
+        self._loop_handle: asyncio.TimerHandle | None = None
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the subscription has ended."""
+        return self._cancelled
+
+    def cancel(self) -> None:
+        """End the subscription; a pending callback does not run."""
+        self._cancelled = True
+        if self._loop_handle is not None:
+            self._loop_handle.cancel()
+
+
+class TimerService(ABC):
+    """Source of monotonic time, wall-clock time and timed callbacks."""
+
+    @property
+    @abstractmethod
+    def now(self) -> float:
+        """Monotonic time in seconds."""
+
+    @property
+    @abstractmethod
+    def wall_now(self) -> float:
+        """Seconds since the epoch; may jump."""
+
+    @abstractmethod
+    def after(self, delay: float, callback: Callback) -> TimerHandle:
+        """Run `callback` once, `delay` seconds from now."""
+
+    def every(self, period: float, callback: Callback) -> TimerHandle:
+        """Run `callback` each `period` seconds until cancelled."""
+        outer = TimerHandle()
+
+        def fire() -> None:
+            if outer.cancelled:
+                return
+            outer._loop_handle = self.after(period, fire)._loop_handle
+            callback()
+
+        outer._loop_handle = self.after(period, fire)._loop_handle
+        return outer
+
+
+class LoopTimers(TimerService):
+    """Timers of the running asyncio loop."""
+
+    @property
+    def now(self) -> float:
+        """Monotonic time of the loop in seconds."""
+        return time.monotonic()
+
+    @property
+    def wall_now(self) -> float:
+        """Seconds since the epoch."""
+        return time.time()
+
+    def after(self, delay: float, callback: Callback) -> TimerHandle:
+        """Run `callback` once, `delay` seconds from now."""
+        handle = TimerHandle()
+        loop = asyncio.get_running_loop()
+        handle._loop_handle = loop.call_later(max(0.0, delay), callback)
+        return handle
+
+
+class VirtualTimers(TimerService):
+    """Timers that move only when told to.
+
+    Parameters
+    ----------
+    start : float
+        Initial monotonic time in seconds.
+    epoch : float
+        Wall-clock seconds at monotonic time 0.
+    """
+
+    def __init__(self, start: float = 0.0, epoch: float = 1_700_000_000.0) -> None:
+        self._now = start
+        self._epoch = epoch
+        self._queue: list[tuple[float, int, TimerHandle, Callback]] = []
+        self._order = itertools.count()
+
+    @property
+    def now(self) -> float:
+        """Virtual monotonic time in seconds."""
+        return self._now
+
+    @property
+    def wall_now(self) -> float:
+        """Virtual wall-clock seconds since the epoch."""
+        return self._epoch + self._now
+
+    def after(self, delay: float, callback: Callback) -> TimerHandle:
+        """Run `callback` once time has advanced by `delay` seconds."""
+        handle = TimerHandle()
+        due = self._now + max(0.0, delay)
+        heapq.heappush(self._queue, (due, next(self._order), handle, callback))
+        return handle
+
+    def advance(self, seconds: float) -> None:
+        """Move time forward, running due callbacks in order."""
+        end = self._now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            due, _, handle, callback = heapq.heappop(self._queue)
+            self._now = max(self._now, due)
+            if not handle.cancelled:
+                callback()
+        self._now = end
--- /dev/null
+++ b/damaskramp/http/__init__.py
@@ -0,0 +1,18 @@
+"""HTTP/1.1 by h11: a server for callers and a client for backend servers."""
+
+from damaskramp.http.client import HttpClient, TransportError, TransportErrorKind
+from damaskramp.http.messages import Headers, HttpRequest, HttpResponse, split_target
+from damaskramp.http.server import Handler, HttpServer, HttpServerSettings
+
+__all__ = [
+    "Handler",
+    "Headers",
+    "HttpClient",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "HttpServerSettings",
+    "TransportError",
+    "TransportErrorKind",
+    "split_target",
+]
--- /dev/null
+++ b/damaskramp/http/client.py
@@ -0,0 +1,208 @@
+"""HTTP client with a pool of connections to one address.
+
+A connection carries one request at a time. One whose answer was abandoned or
+broken is closed and never used again, so no answer can reach another request.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from enum import Enum
+
+import h11
+from expression import Error, Ok, Result
+
+from damaskramp.http.messages import HttpRequest, HttpResponse
+
+__all__ = ["HttpClient", "TransportError", "TransportErrorKind"]
+
+READ_BYTES = 64 * 1024
+
+
+class TransportErrorKind(Enum):
+    """How an exchange failed."""
+
+    CONNECT = "connect"
+    BROKEN = "broken"
+    TIMEOUT = "timeout"
+
+
+@dataclass(frozen=True, slots=True)
+class TransportError:
+    """A failed exchange.
+
+    Attributes
+    ----------
+    bytes_sent : bool
+        Whether any byte of the request can have reached the other side.
+    """
+
+    kind: TransportErrorKind
+    bytes_sent: bool
+    detail: str = ""
+
+
+class _Connection:
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.h11 = h11.Connection(h11.CLIENT)
+
+    @property
+    def reusable(self) -> bool:
+        return not self.reader.at_eof() and not self.writer.is_closing()
+
+    def close(self) -> None:
+        self.writer.close()
+
+    async def next_event(self) -> object:
+        while True:
+            event = self.h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.h11.receive_data(await self.reader.read(READ_BYTES))
+
+
+class HttpClient:
+    """Client of one server.
+
+    Parameters
+    ----------
+    host : str
+        IP address.
+    port : int
+        Port.
+    idle_connections : int
+        Connections kept for reuse.
+    whole_bytes : int
+        Answers up to this size are returned whole; larger ones with a tail.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        idle_connections: int = 64,
+        whole_bytes: int = 1024 * 1024,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._idle: deque[_Connection] = deque()
+        self._idle_connections = idle_connections
+        self._whole_bytes = whole_bytes
+
+    async def request(
+        self, request: HttpRequest, timeout: float
+    ) -> Result[HttpResponse, TransportError]:
+        """Send a request and read its answer.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            Request; ``host`` and ``content-length`` are added.
+        timeout : float
+            Seconds until the answer is abandoned.
+
+        Returns
+        -------
+        Result
+            The response, or how the exchange failed.
+        """
+        sent = False
+        connection = None
+        try:
+            async with asyncio.timeout(timeout):
+                connection = self._take() or await self._connect()
+                sent = True
+                connection.writer.write(self._encode(connection, request))
+                await connection.writer.drain()
+                response = await self._read(connection)
+        except TimeoutError:
+            self._drop(connection)
+            return Error(TransportError(TransportErrorKind.TIMEOUT, sent))
+        except (OSError, h11.ProtocolError) as error:
+            self._drop(connection)
+            kind = TransportErrorKind.BROKEN if sent else TransportErrorKind.CONNECT
+            return Error(TransportError(kind, sent, str(error)))
+        except BaseException:
+            self._drop(connection)
+            raise
+        return Ok(response)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _take(self) -> _Connection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self) -> _Connection:
+        return _Connection(*await asyncio.open_connection(self._host, self._port))
+
+    def _drop(self, connection: _Connection | None) -> None:
+        if connection is not None:
+            connection.writer.transport.abort()
+
+    def _encode(self, connection: _Connection, request: HttpRequest) -> bytes:
+        headers = [(b"host", f"{self._host}:{self._port}".encode())]
+        headers += request.headers
+        if request.body or request.method in {"POST", "PUT", "PATCH"}:
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        head = h11.Request(
+            method=request.method, target=request.target.encode(), headers=headers
+        )
+        data = connection.h11.send(head)
+        if request.body:
+            data += connection.h11.send(h11.Data(data=request.body))
+        return data + connection.h11.send(h11.EndOfMessage())
+
+    async def _read(self, connection: _Connection) -> HttpResponse:
+        head = await connection.next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await connection.next_event()
+        if not isinstance(head, h11.Response):
+            raise ConnectionResetError("closed before an answer came")
+        headers = tuple((bytes(name), bytes(value)) for name, value in head.headers)
+        body = bytearray()
+        while True:
+            event = await connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                self._put_back(connection)
+                return HttpResponse(head.status_code, headers, bytes(body))
+            body += event.data
+            if len(body) > self._whole_bytes:
+                tail = self._tail(connection)
+                return HttpResponse(head.status_code, headers, bytes(body), tail)
+
+    async def _tail(self, connection: _Connection) -> AsyncIterator[bytes]:
+        finished = False
+        try:
+            while True:
+                event = await connection.next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    finished = True
+                    break
+                yield bytes(event.data)
+        finally:
+            if finished:
+                self._put_back(connection)
+            else:
+                self._drop(connection)
+
+    def _put_back(self, connection: _Connection) -> None:
+        state = connection.h11
+        done = state.our_state is h11.DONE and state.their_state is h11.DONE
+        if not done or len(self._idle) >= self._idle_connections:
+            connection.close()
+            return
+        state.start_next_cycle()
+        self._idle.append(connection)
--- /dev/null
+++ b/damaskramp/http/server.py
@@ -0,0 +1,305 @@
+"""HTTP server: one request at a time on each connection.
+
+A connection that ends while its request is being handled cancels the handler.
+
+References
+----------
+RFC 9110, HTTP Semantics; RFC 9112, HTTP/1.1.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+
+from damaskramp.http.messages import Headers, HttpRequest, HttpResponse
+
+__all__ = ["Handler", "HttpServer", "HttpServerSettings"]
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+@dataclass(frozen=True, slots=True)
+class HttpServerSettings:
+    """Bounds of a server.
+
+    Attributes
+    ----------
+    connections : int
+        Connections held at once; more are answered 503 and closed.
+    body_bytes : int
+        Largest request body.
+    header_bytes : int
+        Largest request head.
+    header_seconds : float
+        Time for a request to arrive whole once it has begun.
+    idle_seconds : float
+        Time that a connection may stay without a request.
+    """
+
+    connections: int = 1024
+    body_bytes: int = 4 * 1024 * 1024
+    header_bytes: int = 16 * 1024
+    header_seconds: float = 10.0
+    idle_seconds: float = 75.0
+
+
+class HttpServer:
+    """Listener that hands whole requests to a handler.
+
+    Parameters
+    ----------
+    settings : HttpServerSettings
+        Bounds.
+    handler : callable
+        Coroutine function from request to response.
+    """
+
+    def __init__(self, settings: HttpServerSettings, handler: Handler) -> None:
+        self._settings = settings
+        self._handler = handler
+        self._connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
+        self._draining = False
+
+    @property
+    def settings(self) -> HttpServerSettings:
+        """Bounds of this server."""
+        return self._settings
+
+    @property
+    def handler(self) -> Handler:
+        """Coroutine function from request to response."""
+        return self._handler
+
+    @property
+    def draining(self) -> bool:
+        """Whether answers close their connection."""
+        return self._draining
+
+    @property
+    def connection_count(self) -> int:
+        """Connections open now."""
+        return len(self._connections)
+
+    @property
+    def full(self) -> bool:
+        """Whether there are more connections than allowed."""
+        return len(self._connections) > self._settings.connections
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on an address; raises OSError where it is in use."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Connection(self), host, port)
+
+    def stop_listening(self) -> None:
+        """Take no new connection and mark each further answer as the last one."""
+        self._draining = True
+        if self._server is not None:
+            self._server.close()
+
+    async def drain(self, seconds: float) -> bool:
+        """Close idle connections, let busy ones answer; False when time ran out."""
+        self.stop_listening()
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while self._connections and loop.time() < end:
+            await asyncio.sleep(0.02)
+        finished = not self._connections
+        for connection in tuple(self._connections):
+            connection.abort()
+        return finished
+
+    def add(self, connection: "_Connection") -> None:
+        """Count an open connection."""
+        self._connections.add(connection)
+
+    def discard(self, connection: "_Connection") -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+
+
+class _Connection(asyncio.Protocol):
+    """One connection: h11 state, the request being read, the handler's task."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.settings.header_bytes
+        )
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._writable = asyncio.Event()
+        self._writable.set()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._server.add(self)
+        if self._server.full:
+            self._refuse(503, b"too many connections")
+            return
+        self._wait(self._server.settings.idle_seconds)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.discard(self)
+        self._stop_timer()
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        if self._transport.is_closing():
+            return
+        if self._h11.our_state is h11.ERROR:
+            return
+        self._h11.receive_data(data)
+        if self._task is None:
+            if self._head is None:
+                self._wait(self._server.settings.header_seconds)
+            self._read()
+        else:
+            # Pipelined data waits in h11; read no more until the answer is sent.
+            self._transport.pause_reading()
+
+    def close_if_idle(self) -> None:
+        if self._task is None and self._head is None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        self._transport.abort()
+
+    def _wait(self, seconds: float) -> None:
+        self._stop_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self._expire)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        if self._head is None and self._h11.trailing_data[0] == b"":
+            self._transport.close()
+        else:
+            self._refuse(408, b"request did not arrive in time")
+
+    def _read(self) -> None:
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse(error.error_status_hint, str(error).encode())
+                return
+            if event is h11.NEED_DATA:
+                self._allow_body()
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return
+            if isinstance(event, h11.Request):
+                self._head = event
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > self._server.settings.body_bytes:
+                    self._refuse(413, b"request body is too large")
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._begin()
+                return
+
+    def _allow_body(self) -> None:
+        if self._h11.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            self._transport.write(self._h11.send(go_ahead))
+
+    def _begin(self) -> None:
+        self._stop_timer()
+        head = self._head
+        request = HttpRequest(
+            head.method.decode("ascii"),
+            head.target.decode("latin-1"),
+            tuple((bytes(name), bytes(value)) for name, value in head.headers),
+            bytes(self._body),
+        )
+        self._body = bytearray()
+        self._task = asyncio.get_running_loop().create_task(self._serve(request))
+
+    async def _serve(self, request: HttpRequest) -> None:
+        try:
+            response = await self._server.handler(request)
+            await self._send(response, request.method)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            self._transport.abort()
+            raise
+        self._finish()
+
+    def _finish(self) -> None:
+        self._task = None
+        self._head = None
+        if self._transport.is_closing():
+            return
+        if self._server.draining or self._h11.our_state is not h11.DONE:
+            self._transport.close()
+            return
+        self._h11.start_next_cycle()
+        self._transport.resume_reading()
+        self._wait(self._server.settings.idle_seconds)
+        self._read()
+
+    async def _send(self, response: HttpResponse, method: str) -> None:
+        headers = list(response.headers)
+        bodiless = method == "HEAD" or response.status in BODILESS_STATUSES
+        if response.tail is None and not bodiless:
+            headers.append((b"content-length", b"%d" % len(response.body)))
+        if self._server.draining:
+            headers.append((b"connection", b"close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = self._h11.send(head)
+        if not bodiless:
+            data += self._h11.send(h11.Data(data=response.body))
+        if response.tail is not None:
+            self._transport.write(data)
+            data = b""
+            await self._send_tail(response)
+        self._transport.write(data + self._h11.send(h11.EndOfMessage()))
+        await self._writable.wait()
+
+    async def _send_tail(self, response: HttpResponse) -> None:
+        async for chunk in response.tail:
+            self._transport.write(self._h11.send(h11.Data(data=chunk)))
+            await self._writable.wait()
+
+    def _refuse(self, status: int, message: bytes) -> None:
+        """Answer a request that could not be read, then close."""
+        self._stop_timer()
+        if self._h11.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            headers: Headers = (
+                (b"content-type", b"text/plain"),
+                (b"content-length", b"%d" % len(message)),
+                (b"connection", b"close"),
+                (b"damaskramp-outcome", b"not-run"),
+            )
+            data = self._h11.send(h11.Response(status_code=status, headers=headers))
+            data += self._h11.send(h11.Data(data=message))
+            data += self._h11.send(h11.EndOfMessage())
+            self._transport.write(data)
+        self._transport.close()
--- /dev/null
+++ b/damaskramp/node/admin.py
@@ -0,0 +1,52 @@
+"""Operators' endpoint of the node: metrics, status, health."""
+
+from collections.abc import Callable
+
+import orjson
+from aioprometheus import render
+
+from damaskramp.http import HttpRequest, HttpResponse, split_target
+from damaskramp.node.telemetry import Telemetry
+
+__all__ = ["Admin"]
+
+JSON = ((b"content-type", b"application/json"),)
+TEXT = ((b"content-type", b"text/plain; charset=utf-8"),)
+
+
+class Admin:
+    """Handler of ``/metrics``, ``/status`` and ``/healthz``.
+
+    Parameters
+    ----------
+    telemetry : Telemetry
+        Metrics.
+    status : callable
+        Function that gives the status document.
+    """
+
+    def __init__(self, telemetry: Telemetry, status: Callable[[], dict]) -> None:
+        self._telemetry = telemetry
+        self._status = status
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        path, _ = split_target(request.target)
+        if request.method != "GET":
+            return HttpResponse(405, (*TEXT, (b"allow", b"GET")), b"only GET\n")
+        if path == "/metrics":
+            return self._metrics(request)
+        if path == "/status":
+            return HttpResponse(200, JSON, orjson.dumps(self._status()))
+        if path == "/healthz":
+            serving = self._status()["state"] == "serving"
+            return HttpResponse(200 if serving else 503, TEXT, b"")
+        return HttpResponse(404, TEXT, b"try /metrics, /status or /healthz\n")
+
+    def _metrics(self, request: HttpRequest) -> HttpResponse:
+        accepts = [value.decode("latin-1") for value in request.values(b"accept")]
+        content, headers = render(self._telemetry.registry, accepts)
+        fields = tuple(
+            (name.lower().encode(), value.encode()) for name, value in headers.items()
+        )
+        return HttpResponse(200, fields, content)
--- /dev/null
+++ b/damaskramp/node/callers.py
@@ -0,0 +1,104 @@
+"""Who a request comes from: a key, a context token, or nobody."""
+
+import hashlib
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from damaskramp.bundle import BundleView, Route
+from damaskramp.core import KeyDigest, Reason, TeamId
+from damaskramp.http import HttpRequest
+from damaskramp.node.calls import Reply
+from damaskramp.node.contexts import ContextTable, RunningContext
+from damaskramp.node.fields import CONTEXT, presented_keys, words_outside_key_fields
+
+__all__ = ["Caller", "identify", "key_digest"]
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who a request comes from.
+
+    Attributes
+    ----------
+    team : TeamId
+        Empty for a caller without a key on an open route.
+    parent : RunningContext or None
+        Running call that makes this one, None for a call from outside.
+    """
+
+    team: TeamId
+    key_digest: KeyDigest
+    parent: RunningContext | None = None
+
+
+def key_digest(key: bytes) -> KeyDigest:
+    """Digest under which a bundle lists a key."""
+    return KeyDigest(hashlib.sha256(key).hexdigest())
+
+
+def identify(
+    request: HttpRequest, route: Route, view: BundleView, contexts: ContextTable
+) -> Result[Caller, Reply]:
+    """Identify the caller of a request.
+
+    Returns
+    -------
+    Result
+        The caller, or the refusal to be told.
+    """
+    keys = presented_keys(request)
+    misplaced = _find_misplaced(request, keys, view)
+    if misplaced is not None:
+        return Error(misplaced)
+    token = request.value(CONTEXT)
+    if token is not None:
+        return _by_token(token, contexts)
+    if len(keys) > 1:
+        return _refuse(Reason.BAD_REQUEST, "more than one key")
+    if not keys:
+        if route.open:
+            return Ok(Caller(TeamId(""), KeyDigest("")))
+        return _refuse(Reason.KEY_MISSING, "this route needs a key")
+    return _by_key(key_digest(keys[0]), route, view)
+
+
+def _refuse(reason: Reason, detail: str) -> Result[Caller, Reply]:
+    return Error(Reply.not_run(reason, detail=detail))
+
+
+def _by_token(token: bytes, contexts: ContextTable) -> Result[Caller, Reply]:
+    parent = contexts.find(token.decode("latin-1"))
+    if parent is None:
+        return _refuse(Reason.CONTEXT_UNKNOWN, "no running call has this token")
+    context = parent.context
+    return Ok(Caller(context.team, context.key_digest, parent))
+
+
+def _by_key(digest: KeyDigest, route: Route, view: BundleView) -> Result[Caller, Reply]:
+    team = view.team_of(digest)
+    if team is not None:
+        return Ok(Caller(team, digest))
+    if route.open:
+        return Ok(Caller(TeamId(""), KeyDigest("")))
+    if digest in view.withdrawn:
+        return _refuse(Reason.KEY_WITHDRAWN, "this key has been withdrawn")
+    return _refuse(Reason.KEY_UNKNOWN, "no team has this key")
+
+
+def _find_misplaced(
+    request: HttpRequest, keys: list[bytes], view: BundleView
+) -> Reply | None:
+    """Refuse a key outside its field: it would reach the backend server."""
+    words = words_outside_key_fields(request)
+    for word in words:
+        if word in keys or view.is_key(key_digest(word)):
+            return Reply.not_run(
+                Reason.KEY_MISPLACED, detail="a key stands outside its header field"
+            )
+    for key in keys:
+        if key and (key in request.body or key in request.target.encode("latin-1")):
+            return Reply.not_run(
+                Reason.KEY_MISPLACED, detail="the key stands in the body or target"
+            )
+    return None
--- /dev/null
+++ b/damaskramp/node/entry.py
@@ -0,0 +1,190 @@
+"""Entry of requests, from callers and from the backend server of this host."""
+
+import uuid
+from dataclasses import dataclass, replace
+
+from expression import Error, Ok, Result
+
+from damaskramp.bundle import BundleView, Route
+from damaskramp.config import NodeSettings
+from damaskramp.core import (
+    HostId,
+    Reason,
+    RequestId,
+    Section,
+    ServiceName,
+    TimerService,
+    ZoneName,
+)
+from damaskramp.http import HttpRequest, HttpResponse, split_target
+from damaskramp.node.callers import Caller, identify
+from damaskramp.node.calls import Call, CallContext, Reply
+from damaskramp.node.contexts import ContextTable
+from damaskramp.node.dispatch import Dispatcher
+from damaskramp.node.fields import (
+    IDEMPOTENCY_KEY,
+    TIMEOUT_MS,
+    end_to_end,
+    strip_private,
+)
+from damaskramp.node.responses import to_http
+from damaskramp.node.telemetry import Telemetry
+from damaskramp.quota import RateLimiter
+
+__all__ = ["Entry"]
+
+LONGEST_REQUEST_ID = 128
+
+
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    """A request whose route and caller are known."""
+
+    request: HttpRequest
+    view: BundleView
+    route: Route
+    caller: Caller
+    started: float
+
+
+class Entry:
+    """Turns requests into calls and replies into responses.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    timers : TimerService
+        Time.
+    bundle : Section of BundleView or None
+        Bundle in force.
+    contexts : ContextTable
+        Tokens of running calls.
+    limiter : RateLimiter
+        Rates of the teams.
+    dispatcher : Dispatcher
+        Way to the backend servers.
+    telemetry : Telemetry
+        Counters.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        timers: TimerService,
+        bundle: Section[BundleView | None],
+        contexts: ContextTable,
+        limiter: RateLimiter,
+        dispatcher: Dispatcher,
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
+        self._timers = timers
+        self._bundle = bundle
+        self._contexts = contexts
+        self._limiter = limiter
+        self._dispatcher = dispatcher
+        self._telemetry = telemetry
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        started = self._timers.now
+        prepared = self._arrive(request, started).bind(self._prepare)
+        if prepared.is_error():
+            self._telemetry.refused(prepared.error)
+            return to_http(prepared.error)
+        arrival, call = prepared.ok
+        reply = await self._run(arrival, call)
+        self._telemetry.answered(call.context, reply, self._timers.now - started)
+        return to_http(reply, call.context.request_id)
+
+    def _arrive(self, request: HttpRequest, started: float) -> Result[_Arrival, Reply]:
+        view = self._bundle.value
+        if view is None:
+            return Error(Reply.not_run(Reason.NO_BUNDLE, 1.0))
+        path, _ = split_target(request.target)
+        route = view.match(request.method, path)
+        if route is None:
+            return Error(Reply.not_run(Reason.NO_ROUTE))
+        caller = identify(request, route, view, self._contexts)
+        return caller.map(lambda who: _Arrival(request, view, route, who, started))
+
+    def _prepare(self, arrival: _Arrival) -> Result[tuple[_Arrival, Call], Reply]:
+        parent = arrival.caller.parent
+        depth = parent.context.depth + 1 if parent else 0
+        if depth >= self._settings.limits.depth:
+            return Error(Reply.not_run(Reason.TOO_DEEP))
+        deadline = self._deadline(arrival)
+        if deadline.is_error():
+            return deadline
+        request_id = self._request_id(arrival)
+        if request_id.is_error():
+            return request_id
+        route = arrival.route
+        context = CallContext(
+            request_id=request_id.ok,
+            team=arrival.caller.team,
+            key_digest=arrival.caller.key_digest,
+            service=ServiceName(route.service),
+            route=route.prefix,
+            priority=self._priority(arrival),
+            idempotent=route.idempotent,
+            deadline=deadline.ok,
+            retries_left=0,
+            depth=depth,
+            bundle_version=arrival.view.version,
+            entry_host=HostId(self._settings.node.host),
+            entry_zone=ZoneName(self._settings.node.zone),
+        )
+        return Ok((arrival, Call(context, _forwarded(arrival.request))))
+
+    def _priority(self, arrival: _Arrival) -> int:
+        """Class of the whole request: a call inherits that of its parent."""
+        parent = arrival.caller.parent
+        if parent is not None:
+            return parent.context.priority
+        return arrival.view.rank(arrival.route.priority)
+
+    def _deadline(self, arrival: _Arrival) -> Result[float, Reply]:
+        deadline = arrival.started + arrival.route.timeout_seconds
+        stated = arrival.request.value(TIMEOUT_MS)
+        if stated is not None:
+            if not stated.isdigit() or len(stated) > 9:
+                detail = "damaskramp-timeout-ms must be a whole number of milliseconds"
+                return Error(Reply.not_run(Reason.BAD_REQUEST, detail=detail))
+            deadline = min(deadline, arrival.started + int(stated) / 1000)
+        if arrival.caller.parent is not None:
+            deadline = min(deadline, arrival.caller.parent.context.deadline)
+        return Ok(deadline)
+
+    def _request_id(self, arrival: _Arrival) -> Result[RequestId, Reply]:
+        stated = arrival.request.values(IDEMPOTENCY_KEY)
+        if not stated:
+            return Ok(RequestId(uuid.uuid4().hex))
+        text = stated[0].decode("latin-1").strip('"')
+        if len(stated) > 1 or not 0 < len(text) <= LONGEST_REQUEST_ID:
+            detail = f"idempotency-key must stand once, up to {LONGEST_REQUEST_ID} long"
+            return Error(Reply.not_run(Reason.BAD_REQUEST, detail=detail))
+        return Ok(RequestId(text))
+
+    async def _run(self, arrival: _Arrival, call: Call) -> Reply:
+        parent = arrival.caller.parent
+        if parent is not None:
+            lent = parent.lend_retries()
+            reply = await self._dispatch(call, lent)
+            parent.return_retries(reply.retries_left)
+            return reply
+        if call.context.team:
+            taken = await self._limiter.take(call.context.team, call.context.deadline)
+            if taken.is_error():
+                return Reply.refused(taken.error)
+        return await self._dispatch(call, arrival.view.contents.bundle.retries)
+
+    async def _dispatch(self, call: Call, retries: int) -> Reply:
+        context = replace(call.context, retries_left=retries)
+        return await self._dispatcher.dispatch(Call(context, call.request))
+
+
+def _forwarded(request: HttpRequest) -> HttpRequest:
+    headers = strip_private(end_to_end(request.headers))
+    return HttpRequest(request.method, request.target, headers, request.body)
--- /dev/null
+++ b/damaskramp/node/execution.py
@@ -0,0 +1,174 @@
+"""Running a call on the backend server of this host."""
+
+from expression import Result
+
+from damaskramp.admission import AdmissionController, Demand, Permit, Sample
+from damaskramp.bundle import BundleView
+from damaskramp.config import NodeSettings
+from damaskramp.core import Outcome, Reason, Section, TimerService
+from damaskramp.http import HttpClient, HttpRequest, HttpResponse, TransportError
+from damaskramp.http import TransportErrorKind as Kind
+from damaskramp.node.calls import Call, CallContext, Reply
+from damaskramp.node.contexts import ContextTable
+from damaskramp.node.fields import CONTEXT, PRIORITY, REQUEST_ID, TIMEOUT_MS
+from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.telemetry import Telemetry
+
+__all__ = ["Executor"]
+
+
+class Executor:
+    """Admits calls to the backend server beside this node and runs them.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    timers : TimerService
+        Time.
+    bundle : Section of BundleView or None
+        Bundle in force.
+    lifecycle : Section of Lifecycle
+        State of the node.
+    admission : AdmissionController
+        Admission to the backend server.
+    backend : HttpClient
+        Client of the backend server.
+    contexts : ContextTable
+        Tokens of running calls.
+    telemetry : Telemetry
+        Counters.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        timers: TimerService,
+        bundle: Section[BundleView | None],
+        lifecycle: Section[Lifecycle],
+        admission: AdmissionController,
+        backend: HttpClient,
+        contexts: ContextTable,
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
+        self._timers = timers
+        self._bundle = bundle
+        self._lifecycle = lifecycle
+        self._admission = admission
+        self._backend = backend
+        self._contexts = contexts
+        self._telemetry = telemetry
+
+    @property
+    def running(self) -> int:
+        """Calls that are running on the backend server."""
+        return len(self._contexts)
+
+    async def execute(self, call: Call) -> Reply:
+        """Run a call, or say why it did not run."""
+        reply = self._check(call.context)
+        if reply is None:
+            reply = await self._admitted(call)
+        self._telemetry.executed(call.context, reply)
+        return reply.with_load(self._admission.load)
+
+    def _check(self, context: CallContext) -> Reply | None:
+        """Refusal that needs no look at the backend server."""
+        unspent = context.retries_left
+        if self._lifecycle.value is Lifecycle.LEAVING:
+            return Reply.not_run(Reason.STOPPING).with_retries(unspent)
+        backend = self._settings.backend
+        if backend is None or backend.service != context.service:
+            return Reply.not_run(Reason.NO_BACKEND_SERVER).with_retries(unspent)
+        if self._key_withdrawn(context):
+            return Reply.not_run(Reason.KEY_WITHDRAWN).with_retries(unspent)
+        return None
+
+    def _key_withdrawn(self, context: CallContext) -> bool:
+        view = self._bundle.value
+        return view is not None and context.key_digest in view.withdrawn
+
+    async def _admitted(self, call: Call) -> Reply:
+        context = call.context
+        demand = Demand(
+            context.request_id,
+            context.team,
+            context.priority,
+            context.depth,
+            context.deadline,
+        )
+        admitted: Result[Permit, object] = await self._admission.admit(demand)
+        if admitted.is_error():
+            return Reply.refused(admitted.error).with_retries(context.retries_left)
+        permit = admitted.ok
+        sample = None
+        try:
+            started = self._timers.now
+            reply = await self._release(call)
+            overloaded = reply.outcome is not Outcome.ANSWER or reply.status == 503
+            sample = Sample(self._timers.now - started, overloaded)
+            return reply
+        finally:
+            permit.release(sample)
+
+    async def _release(self, call: Call) -> Reply:
+        """Send the call to the backend server: from here on it may have run."""
+        context = call.context
+        if self._key_withdrawn(context):
+            # The key may have been withdrawn while the call was queued.
+            return Reply.not_run(Reason.KEY_WITHDRAWN)
+        remaining = context.deadline - self._timers.now
+        if remaining <= 0:
+            return Reply.not_run(Reason.DEADLINE_EXCEEDED)
+        token, running = self._contexts.issue(context)
+        try:
+            request = _backend_request(call, token, remaining)
+            answer = await self._backend.request(request, remaining)
+        finally:
+            self._contexts.end(token)
+        reply = self._judge(context, answer)
+        return reply.with_retries(running.retries_left)
+
+    def _judge(
+        self, context: CallContext, answer: Result[HttpResponse, TransportError]
+    ) -> Reply:
+        if answer.is_error():
+            return _failed(answer.error)
+        response = answer.ok
+        if response.status == 503 and self._shed_means_not_run(context):
+            return Reply.not_run(Reason.OVERLOADED, 0.2)
+        return Reply(
+            Outcome.ANSWER,
+            status=response.status,
+            headers=response.headers,
+            body=response.body,
+            tail=response.tail,
+        )
+
+    def _shed_means_not_run(self, context: CallContext) -> bool:
+        view = self._bundle.value
+        service = view.service(context.service) if view else None
+        return service is not None and service.shed_means_not_run
+
+
+def _backend_request(call: Call, token: str, remaining: float) -> HttpRequest:
+    context = call.context
+    headers = call.request.headers + (
+        (CONTEXT, token.encode()),
+        (REQUEST_ID, context.request_id.encode()),
+        (TIMEOUT_MS, b"%d" % int(remaining * 1000)),
+        (PRIORITY, b"%d" % context.priority),
+        (b"damaskramp-team", context.team.encode()),
+    )
+    return HttpRequest(
+        call.request.method, call.request.target, headers, call.request.body
+    )
+
+
+def _failed(error: TransportError) -> Reply:
+    if not error.bytes_sent:
+        return Reply.not_run(Reason.CONNECT_FAILED, 0.2, error.detail)
+    if error.kind is Kind.TIMEOUT:
+        return Reply.unknown(Reason.DEADLINE_EXCEEDED)
+    return Reply.unknown(Reason.ANSWER_LOST, error.detail)
--- /dev/null
+++ b/damaskramp/node/fields.py
@@ -0,0 +1,103 @@
+"""Header fields: names of our own, and which fields are passed on."""
+
+from urllib.parse import parse_qsl
+
+from damaskramp.http import Headers, HttpRequest, split_target
+
+__all__ = [
+    "API_KEY",
+    "AUTHORIZATION",
+    "CONTEXT",
+    "IDEMPOTENCY_KEY",
+    "OUTCOME",
+    "PRIORITY",
+    "REASON",
+    "REQUEST_ID",
+    "RETRY_AFTER",
+    "TIMEOUT_MS",
+    "end_to_end",
+    "presented_keys",
+    "strip_private",
+    "words_outside_key_fields",
+]
+
+AUTHORIZATION = b"authorization"
+API_KEY = b"api-key"
+CONTEXT = b"damaskramp-context"
+IDEMPOTENCY_KEY = b"idempotency-key"
+OUTCOME = b"damaskramp-outcome"
+PRIORITY = b"damaskramp-priority"
+REASON = b"damaskramp-reason"
+REQUEST_ID = b"damaskramp-request-id"
+RETRY_AFTER = b"retry-after"
+TIMEOUT_MS = b"damaskramp-timeout-ms"
+
+PRIVATE_PREFIX = b"damaskramp-"
+KEY_FIELDS = frozenset({AUTHORIZATION, API_KEY, b"proxy-authorization"})
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+def presented_keys(request: HttpRequest) -> list[bytes]:
+    """Keys in the fields meant for them.
+
+    Examples
+    --------
+    >>> headers = ((b"authorization", b"Bearer k1"), (b"api-key", b"k2"))
+    >>> presented_keys(HttpRequest("GET", "/", headers))
+    [b'k1', b'k2']
+    """
+    keys = []
+    for value in request.values(AUTHORIZATION):
+        scheme, _, rest = value.strip().partition(b" ")
+        keys.append(rest.strip() if scheme.lower() == b"bearer" else value.strip())
+    keys += [value.strip() for value in request.values(API_KEY)]
+    return keys
+
+
+def words_outside_key_fields(request: HttpRequest) -> list[bytes]:
+    """Words of the target and of other fields, where a key may stand by mistake."""
+    path, query = split_target(request.target)
+    words = [part.encode("latin-1", "replace") for part in path.split("/") if part]
+    for name, value in parse_qsl(query, keep_blank_values=True):
+        words += [name.encode(), value.encode()]
+    for name, value in request.headers:
+        if name not in KEY_FIELDS:
+            words += value.replace(b",", b" ").replace(b"=", b" ").split()
+    return words
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Fields that are passed on: neither hop-by-hop nor named by Connection."""
+    named = {
+        word.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for word in value.split(b",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP and name not in named
+    )
+
+
+def strip_private(headers: Headers) -> Headers:
+    """Drop keys and the fields that only this system may set."""
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in KEY_FIELDS and not name.startswith(PRIVATE_PREFIX)
+    )
--- /dev/null
+++ b/damaskramp/node/peer_server.py
@@ -0,0 +1,37 @@
+"""Server side of the calls between nodes."""
+
+from grpclib.server import Stream
+
+from damaskramp.core import TimerService
+from damaskramp.node.codec import decode_call, encode_head
+from damaskramp.node.execution import Executor
+from damaskramp.wire import peer_pb2
+from damaskramp.wire.peer_grpc import PeerBase
+
+__all__ = ["PeerService"]
+
+
+class PeerService(PeerBase):
+    """Runs calls that other nodes send.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Time.
+    executor : Executor
+        Execution on this host.
+    """
+
+    def __init__(self, timers: TimerService, executor: Executor) -> None:
+        self._timers = timers
+        self._executor = executor
+
+    async def Execute(self, stream: Stream) -> None:
+        """Run one call and stream its reply."""
+        message = await stream.recv_message()
+        call = decode_call(message, self._timers.now)
+        reply = await self._executor.execute(call)
+        await stream.send_message(encode_head(reply))
+        if reply.tail is not None:
+            async for chunk in reply.tail:
+                await stream.send_message(peer_pb2.ExecuteReply(chunk=chunk))
--- /dev/null
+++ b/damaskramp/node/peers.py
@@ -0,0 +1,110 @@
+"""Calls to other nodes by gRPC."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+
+from grpclib.client import Channel, Stream
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from damaskramp.core import Reason, TimerService
+from damaskramp.membership import Member
+from damaskramp.node.calls import Call, Reply
+from damaskramp.node.codec import decode_head, encode_call
+from damaskramp.wire.peer_grpc import PeerStub
+
+__all__ = ["PeerClient", "PeerPool"]
+
+CONNECT_SECONDS = 1.0
+GRACE_SECONDS = 0.05
+"""Time beyond the deadline in which a peer may still tell the outcome."""
+
+FAILURES = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
+
+
+class PeerPool:
+    """One channel for each address of a peer."""
+
+    def __init__(self) -> None:
+        self._channels: dict[str, Channel] = {}
+
+    def channel(self, address: str) -> Channel:
+        """Channel to an address; it connects when first used."""
+        if address not in self._channels:
+            host, _, port = address.rpartition(":")
+            self._channels[address] = Channel(host, int(port))
+        return self._channels[address]
+
+    def forget(self, addresses: set[str]) -> None:
+        """Close the channels to addresses that no member has any more."""
+        for address in addresses & self._channels.keys():
+            self._channels.pop(address).close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+
+class PeerClient:
+    """Client side of the call from an entry node to an executing node.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Time.
+    pool : PeerPool
+        Channels.
+    """
+
+    def __init__(self, timers: TimerService, pool: PeerPool) -> None:
+        self._timers = timers
+        self._pool = pool
+
+    async def execute(self, member: Member, call: Call) -> Reply:
+        """Have a member run a call.
+
+        A failure before the message is sent is told as not run, any later one
+        as unknown.
+        """
+        stub = PeerStub(self._pool.channel(member.peer))
+        remaining = call.context.deadline - self._timers.now
+        if remaining <= 0:
+            return Reply.not_run(Reason.DEADLINE_EXCEEDED)
+        async with AsyncExitStack() as stack:
+            stream = await stack.enter_async_context(
+                stub.Execute.open(timeout=remaining + GRACE_SECONDS)
+            )
+            try:
+                async with asyncio.timeout(min(CONNECT_SECONDS, remaining)):
+                    await stream.send_request()
+            except (*FAILURES, TimeoutError) as error:
+                await stream.reset()
+                return Reply.not_run(Reason.CONNECT_FAILED, detail=str(error))
+            return await self._exchange(stack, stream, call)
+
+    async def _exchange(
+        self, stack: AsyncExitStack, stream: Stream, call: Call
+    ) -> Reply:
+        try:
+            message = encode_call(call, self._timers.now)
+            await stream.send_message(message, end=True)
+            first = await stream.recv_message()
+            if first is None:
+                return Reply.unknown(Reason.ANSWER_LOST, "the peer sent no reply")
+            if not first.head.more:
+                await stream.recv_message()
+                return decode_head(first.head)
+        except TimeoutError:
+            return Reply.unknown(Reason.DEADLINE_EXCEEDED)
+        except FAILURES as error:
+            return Reply.unknown(Reason.ANSWER_LOST, str(error))
+        held = stack.pop_all()
+        return decode_head(first.head, _tail(held, stream))
+
+
+async def _tail(held: AsyncExitStack, stream: Stream) -> AsyncIterator[bytes]:
+    async with held:
+        async for message in stream:
+            yield message.chunk
--- /dev/null
+++ b/damaskramp/node/responses.py
@@ -0,0 +1,76 @@
+"""HTTP form of what callers are told."""
+
+import math
+
+import orjson
+
+from damaskramp.core import Outcome, Reason, RequestId
+from damaskramp.http import HttpResponse
+from damaskramp.node.calls import Reply
+from damaskramp.node.fields import (
+    OUTCOME,
+    REASON,
+    REQUEST_ID,
+    RETRY_AFTER,
+    end_to_end,
+    strip_private,
+)
+
+__all__ = ["STATUS_BY_REASON", "to_http"]
+
+STATUS_BY_REASON = {
+    Reason.NONE: 502,
+    Reason.BAD_REQUEST: 400,
+    Reason.KEY_MISSING: 401,
+    Reason.KEY_UNKNOWN: 401,
+    Reason.KEY_WITHDRAWN: 401,
+    Reason.KEY_MISPLACED: 400,
+    Reason.CONTEXT_UNKNOWN: 401,
+    Reason.NO_ROUTE: 404,
+    Reason.NO_BUNDLE: 503,
+    Reason.NO_BACKEND_SERVER: 503,
+    Reason.TEAM_OVER_RATE: 429,
+    Reason.OVERLOADED: 503,
+    Reason.DEADLINE_EXCEEDED: 504,
+    Reason.TOO_DEEP: 508,
+    Reason.TOO_LARGE: 413,
+    Reason.RETRIES_EXHAUSTED: 503,
+    Reason.QUARANTINED: 422,
+    Reason.CONNECT_FAILED: 503,
+    Reason.ANSWER_LOST: 502,
+    Reason.REQUEST_CONFLICT: 422,
+    Reason.REQUEST_RUNNING: 409,
+    Reason.HISTORY_LOST: 502,
+    Reason.HOME_UNREACHABLE: 503,
+    Reason.STOPPING: 503,
+}
+
+
+def to_http(reply: Reply, request_id: RequestId | None = None) -> HttpResponse:
+    """Response for a reply.
+
+    An answer keeps the backend server's status, fields and body. Anything else
+    is a small JSON document with a stable code.
+    """
+    own = [(OUTCOME, reply.outcome.value.encode())]
+    if request_id:
+        own.append((REQUEST_ID, request_id.encode()))
+    if reply.outcome is Outcome.ANSWER:
+        headers = strip_private(end_to_end(reply.headers)) + tuple(own)
+        return HttpResponse(reply.status, headers, reply.body, reply.tail)
+    own.append((REASON, reply.reason.value.encode()))
+    own.append((b"content-type", b"application/json"))
+    if reply.retry_after > 0:
+        own.append((RETRY_AFTER, b"%d" % math.ceil(reply.retry_after)))
+    if STATUS_BY_REASON[reply.reason] == 401:
+        own.append((b"www-authenticate", b"Bearer"))
+    return HttpResponse(STATUS_BY_REASON[reply.reason], tuple(own), _body(reply))
+
+
+def _body(reply: Reply) -> bytes:
+    document = {"outcome": reply.outcome.value, "code": reply.reason.value}
+    if reply.detail:
+        document["detail"] = reply.detail
+    if reply.retry_after > 0:
+        document["retry_after_seconds"] = round(reply.retry_after, 3)
+    return orjson.dumps(document)
--- /dev/null
+++ b/damaskramp/platform/configuration.py
@@ -0,0 +1,88 @@
+"""Reading and watching values of the platform's configuration service.
+
+``GET /config/NAME`` answers 200 with the value and its revision in the header
+``config-revision``, or 404. With ``?after=REVISION&wait=SECONDS`` it answers once
+the revision is greater, or 304 when the time is over.
+"""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from damaskramp.http import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    TransportError,
+    TransportErrorKind,
+)
+
+__all__ = ["ConfigurationSource", "HttpConfigurationSource", "Published"]
+
+ANSWER_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A value with its revision."""
+
+    revision: int
+    value: bytes
+
+
+class ConfigurationSource(ABC):
+    """Readable and watchable configuration value."""
+
+    @abstractmethod
+    async def read(self) -> Result[Published | None, TransportError]:
+        """Read the value; None where nothing is published."""
+
+    @abstractmethod
+    async def watch(
+        self, after: int, seconds: float
+    ) -> Result[Published | None, TransportError]:
+        """Wait for a revision greater than `after`; None when time is over."""
+
+
+class HttpConfigurationSource(ConfigurationSource):
+    """Configuration value behind HTTP.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Client of the platform's address.
+    name : str
+        Name of the value.
+    """
+
+    def __init__(self, client: HttpClient, name: str) -> None:
+        self._client = client
+        self._path = f"/config/{name}"
+
+    async def read(self) -> Result[Published | None, TransportError]:
+        """Read the value; None where nothing is published."""
+        return await self._get(self._path, ANSWER_SECONDS)
+
+    async def watch(
+        self, after: int, seconds: float
+    ) -> Result[Published | None, TransportError]:
+        """Wait for a revision greater than `after`; None when time is over."""
+        target = f"{self._path}?after={after}&wait={seconds:g}"
+        return await self._get(target, seconds + ANSWER_SECONDS)
+
+    async def _get(
+        self, target: str, timeout: float
+    ) -> Result[Published | None, TransportError]:
+        answer = await self._client.request(HttpRequest("GET", target), timeout)
+        return answer.bind(_published)
+
+
+def _published(response: HttpResponse) -> Result[Published | None, TransportError]:
+    if response.status in (304, 404):
+        return Ok(None)
+    revision = response.value(b"config-revision") or b""
+    if response.status != 200 or not revision.isdigit():
+        detail = f"status {response.status}, revision {revision!r}"
+        return Error(TransportError(TransportErrorKind.BROKEN, True, detail))
+    return Ok(Published(int(revision), response.body))
--- /dev/null
+++ b/damaskramp/quota/bucket.py
@@ -0,0 +1,83 @@
+"""Token bucket.
+
+References
+----------
+RFC 2697, A Single Rate Three Color Marker, section 3.
+"""
+
+__all__ = ["TokenBucket"]
+
+
+class TokenBucket:
+    """Bucket that fills at a rate up to a capacity.
+
+    Parameters
+    ----------
+    rate : float
+        Tokens a second.
+    capacity : float
+        Most tokens held.
+    now : float
+        Monotonic time in seconds.
+    level : float, optional
+        Initial tokens, the capacity where absent.
+
+    Examples
+    --------
+    >>> bucket = TokenBucket(rate=2.0, capacity=1.0, now=0.0)
+    >>> bucket.take(0.0), bucket.take(0.1), bucket.take(0.5)
+    (True, False, True)
+    """
+
+    def __init__(
+        self, rate: float, capacity: float, now: float, level: float | None = None
+    ) -> None:
+        self._rate = rate
+        self._capacity = capacity
+        self._level = capacity if level is None else min(level, capacity)
+        self._updated = now
+
+    @property
+    def rate(self) -> float:
+        """Tokens a second."""
+        return self._rate
+
+    @property
+    def capacity(self) -> float:
+        """Most tokens held."""
+        return self._capacity
+
+    def level(self, now: float) -> float:
+        """Tokens held at `now`."""
+        self._fill(now)
+        return self._level
+
+    def take(self, now: float, tokens: float = 1.0) -> bool:
+        """Take tokens where there are enough."""
+        self._fill(now)
+        if self._level < tokens:
+            return False
+        self._level -= tokens
+        return True
+
+    def wait(self, now: float, tokens: float = 1.0) -> float:
+        """Seconds until `tokens` are there, infinite where they never are."""
+        self._fill(now)
+        missing = tokens - self._level
+        if missing <= 0:
+            return 0.0
+        if tokens > self._capacity or self._rate <= 0:
+            return float("inf")
+        return missing / self._rate
+
+    def reconfigure(self, rate: float, capacity: float, now: float) -> None:
+        """Change rate and capacity; tokens held beyond the capacity are lost."""
+        self._fill(now)
+        self._rate = rate
+        self._capacity = capacity
+        self._level = min(self._level, capacity)
+
+    def _fill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._updated)
+        self._level = min(self._capacity, self._level + elapsed * self._rate)
+        self._updated = max(self._updated, now)
