Interfaces of ownership and of spreading small items

Cause: quota, homes of requests, quarantines and bundles each need an owner inside a zone or a way to reach all nodes; built apart they would differ.

Change: abstract Ownership with a fence for executing nodes, abstract Broadcast with versioned items, and a baseline for each that coordinates nothing. Nothing is wired in yet.

--- a/damaskramp/membership/__init__.py
+++ b/damaskramp/membership/__init__.py
@@ -1,5 +1,14 @@
-"""Which nodes are there, and in what state."""
+"""Which nodes are there, in what state, and how small items reach them."""
 
+from damaskramp.membership.broadcast import Broadcast, Item, LocalBroadcast, Topic
 from damaskramp.membership.table import Member, MemberState, MemberTable
 
-__all__ = ["Member", "MemberState", "MemberTable"]
+__all__ = [
+    "Broadcast",
+    "Item",
+    "LocalBroadcast",
+    "Member",
+    "MemberState",
+    "MemberTable",
+    "Topic",
+]
--- /dev/null
+++ b/damaskramp/ownership/rendezvous.py
@@ -0,0 +1,88 @@
+"""Rendezvous ranking, and ownership by the list of members alone.
+
+References
+----------
+D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to increase hit
+rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from damaskramp.core import HostId, Section, TimerService, ZoneName
+from damaskramp.membership import Member, MemberState, MemberTable
+from damaskramp.ownership.ownership import Owner, Ownership
+
+__all__ = ["ListedOwnership", "rank_members", "rendezvous_score"]
+
+
+def rendezvous_score(name: str, thing: str) -> int:
+    """Score of a name for a thing; the highest owns it."""
+    return xxhash.xxh3_64_intdigest(f"{name}\0{thing}")
+
+
+def rank_members(members: Iterable[Member], thing: str) -> list[Member]:
+    """Members by falling rendezvous score for `thing`."""
+    return sorted(
+        members,
+        key=lambda member: (rendezvous_score(member.host, thing), member.host),
+        reverse=True,
+    )
+
+
+class ListedOwnership(Ownership):
+    """Baseline: the highest ranked member of the table owns a thing.
+
+    Two nodes whose tables differ may both own it, so it protects nothing.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Time.
+    own : HostId
+        This host.
+    zone : ZoneName
+        Zone of this host.
+    members : Section of MemberTable
+        Known members.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        own: HostId,
+        zone: ZoneName,
+        members: Section[MemberTable],
+    ) -> None:
+        self._own = own
+        self._zone = zone
+        self._members = members
+        self._active_since = timers.now
+
+    @property
+    def active(self) -> bool:
+        """Whether this host stands in the table."""
+        return self._members.value.get(self._own) is not None
+
+    @property
+    def active_since(self) -> float:
+        """Monotonic time of construction."""
+        return self._active_since
+
+    def successors(self, thing: str, count: int) -> tuple[Owner, ...]:
+        """Members of the zone that take work, by falling rank."""
+        zone = self._members.value.in_zone(self._zone)
+        able = [m for m in zone if m.state is not MemberState.LEAVING]
+        ranked = rank_members(able, thing)[:count]
+        return tuple(Owner(m.host, m.incarnation, m.peer) for m in ranked)
+
+    def owns(self, thing: str) -> bool:
+        """Whether this host ranks first."""
+        owner = self.owner(thing)
+        return owner is not None and owner.host == self._own
+
+    def may_release(self, thing: str, releaser: Owner) -> bool:
+        """Whether `releaser` ranks first in this node's table."""
+        owner = self.owner(thing)
+        return owner is not None and owner.host == releaser.host
