Ownership by acknowledged activation, checked under a virtual clock

Cause: ownership by the host list alone lets two nodes own one thing. Ruled out: counting the wait of a lone newcomer from its start (the list may drop the older owner and show the newcomer in one step just before); activating alone on one reading (a woken node may read an old list once); a stay in office without the list or a listed sponsor (a group that was dropped together).

--- a/damaskramp/ownership/__init__.py
+++ b/damaskramp/ownership/__init__.py
@@ -1,6 +1,18 @@
 """Which node of a zone owns a thing, without a vote."""
 
+from damaskramp.ownership.activation import AcknowledgedOwnership
+from damaskramp.ownership.messages import Ack, Ask, OwnershipSettings, Sighting
 from damaskramp.ownership.ownership import Owner, Ownership
 from damaskramp.ownership.rendezvous import ListedOwnership, rank_members
 
-__all__ = ["ListedOwnership", "Owner", "Ownership", "rank_members"]
+__all__ = [
+    "Ack",
+    "AcknowledgedOwnership",
+    "Ask",
+    "ListedOwnership",
+    "Owner",
+    "Ownership",
+    "OwnershipSettings",
+    "Sighting",
+    "rank_members",
+]
--- /dev/null
+++ b/damaskramp/ownership/activation.py
@@ -0,0 +1,326 @@
+"""Ownership by rendezvous rank among incarnations that all have acknowledged.
+
+A new incarnation asks every node in its view. Whoever acknowledges it ranks it
+from then on: it gives way to it, and refuses releases of owners ranked below. The
+incarnation becomes active once all have answered or have been silent, so a newer
+owner is known to every live executing node before its first release.
+
+No sockets here: `tick` returns the messages to send, `receive_ask` the answer.
+"""
+
+from collections.abc import Callable, Iterable
+
+import xxhash
+
+from damaskramp.core import HostId, Incarnation, TimerService
+from damaskramp.core.rendezvous import rendezvous_score
+from damaskramp.ownership.contact import NEVER, Contact
+from damaskramp.ownership.messages import Ack, Ask, OwnershipSettings, Sighting
+from damaskramp.ownership.ownership import Owner, Ownership
+
+__all__ = ["AcknowledgedOwnership"]
+
+MICROSECONDS = 1_000_000
+
+
+class AcknowledgedOwnership(Ownership):
+    """Ownership by acknowledged activation and fencing.
+
+    Parameters
+    ----------
+    settings : OwnershipSettings
+        Times.
+    timers : TimerService
+        Time.
+    own : Owner
+        Identity of this node at its start.
+    """
+
+    def __init__(
+        self, settings: OwnershipSettings, timers: TimerService, own: Owner
+    ) -> None:
+        self._settings = settings
+        self._timers = timers
+        self._own = own
+        self._contacts: dict[HostId, Contact] = {}
+        self._renewal_subscribers: list[Callable[[Incarnation], None]] = []
+        self._seen = timers.now
+        self._leaving = False
+        self._forget_standing()
+
+    @property
+    def active(self) -> bool:
+        """Whether this incarnation may own anything yet."""
+        self._observe()
+        return self._active
+
+    @property
+    def active_since(self) -> float:
+        """Monotonic time at which this incarnation became active."""
+        return self._active_since
+
+    @property
+    def own(self) -> Owner:
+        """Identity of the present incarnation."""
+        self._observe()
+        return self._own
+
+    @property
+    def waiting_for(self) -> tuple[HostId, ...]:
+        """Hosts whose acknowledgement or silence is waited for."""
+        return tuple(contact.host for contact in self._pending())
+
+    def subscribe_renewal(self, callback: Callable[[Incarnation], None]) -> None:
+        """Call `callback` with each new incarnation of this node."""
+        self._renewal_subscribers.append(callback)
+
+    def successors(self, thing: str, count: int) -> tuple[Owner, ...]:
+        """Incarnations that count, by falling rank for `thing`."""
+        self._observe()
+        now = self._timers.now
+        silence = self._settings.silence_seconds
+        able = [c.as_owner() for c in self._contacts.values() if c.counts(now, silence)]
+        if self._active:
+            able.append(self._own)
+        able.sort(key=lambda o: (rendezvous_score(o.host, thing), o.host), reverse=True)
+        return tuple(able[:count])
+
+    def owns(self, thing: str) -> bool:
+        """Whether this incarnation is active and ranks first for `thing`."""
+        return self.active and self.owner(thing) == self._own
+
+    def may_release(self, thing: str, releaser: Owner) -> bool:
+        """Whether `releaser` ranks first here and was heard of lately.
+
+        False before this node itself is active: until then it doesn't know whom
+        it would have to refuse.
+        """
+        if not self.active:
+            return False
+        owner = self.owner(thing)
+        if owner is None or owner.host != releaser.host:
+            return False
+        if owner.incarnation != releaser.incarnation:
+            return False
+        if owner == self._own:
+            return True
+        contact = self._contacts[owner.host]
+        return not contact.silent(self._timers.now, self._settings.sponsor_seconds)
+
+    def receive_list(self, hosts: Iterable[tuple[HostId, str]]) -> None:
+        """Take a reading of the host list: names and peer addresses in the zone."""
+        self._observe()
+        now = self._timers.now
+        listed = dict(hosts)
+        self._listed = frozenset(listed)
+        for host, peer in listed.items():
+            if host != self._own.host and host not in self._contacts:
+                self._contacts[host] = Contact(host, peer, now)
+        if self._own.host not in listed:
+            self._listed_since = -NEVER
+        else:
+            self._listed_since = min(self._listed_since, now)
+            self._listed_until = now
+        self._settle()
+
+    def receive_ask(self, ask: Ask) -> Ack | None:
+        """Acknowledge an incarnation; None where a newer one is known."""
+        self._observe()
+        if ask.host == self._own.host:
+            return None
+        contact = self._touch(ask.host, ask.peer)
+        if not contact.show(ask.incarnation):
+            return None
+        contact.peer = ask.peer
+        contact.heard = self._timers.now
+        contact.ranked = True
+        names = frozenset(s.host for s in self._view())
+        same = _digest(names | {self._own.host}) == ask.view_digest
+        return Ack(
+            self._own.host,
+            self._own.incarnation,
+            self._own.peer,
+            self._active,
+            self._active and self._is_listed(),
+            ask.incarnation,
+            ask.asked_at,
+            () if same else self._view(),
+        )
+
+    def receive_ack(self, ack: Ack) -> None:
+        """Take an acknowledgement of this node's incarnation."""
+        self._observe()
+        if ack.acknowledged != self._own.incarnation:
+            return
+        contact = self._touch(ack.host, ack.peer)
+        if not contact.show(ack.incarnation):
+            return
+        contact.heard = max(contact.heard, ack.asked_at)
+        contact.acknowledged = True
+        contact.ranked = contact.ranked or ack.active
+        if ack.listed:
+            contact.sponsored_at = max(contact.sponsored_at, ack.asked_at)
+        for sighting in ack.view:
+            self._sight(sighting)
+        self._settle()
+
+    def receive_sign_of_life(self, host: HostId, incarnation: Incarnation) -> None:
+        """Take note that an incarnation is alive, by whatever path."""
+        self._observe()
+        contact = self._contacts.get(host)
+        if contact is not None and incarnation >= contact.incarnation:
+            contact.heard = self._timers.now
+
+    def receive_host(self, host: HostId, peer: str) -> None:
+        """Take note of a host that another node has told of."""
+        self._observe()
+        if host != self._own.host and host not in self._contacts:
+            self._contacts[host] = Contact(host, peer, self._timers.now)
+
+    def receive_leave(self, host: HostId, incarnation: Incarnation) -> None:
+        """Take note that an incarnation owns nothing any more.
+
+        It counts on while releases that it sent may still arrive.
+        """
+        self._observe()
+        contact = self._contacts.get(host)
+        if contact is not None and contact.incarnation == incarnation:
+            retires_at = self._timers.now + self._settings.pause_seconds
+            contact.retires_at = min(contact.retires_at, retires_at)
+            contact.acknowledged = True
+
+    def renew(self, above: Incarnation) -> None:
+        """Become a new incarnation, greater than `above`."""
+        if above >= self._own.incarnation:
+            self._renew(above)
+
+    def leave(self) -> None:
+        """Own nothing from now on."""
+        self._leaving = True
+        self._active = False
+
+    def tick(self) -> list[tuple[Contact, Ask]]:
+        """Advance; the asks to send. To be called several times a pause limit."""
+        self._observe()
+        self._expire()
+        self._settle()
+        if self._leaving:
+            return []
+        now = self._timers.now
+        due = [c for c in self._contacts.values() if self._is_due(c, now)]
+        for contact in due:
+            contact.asked_at = now
+        own = self._own
+        digest = _digest(frozenset(s.host for s in self._view()) | {own.host})
+        ask = Ask(own.host, own.incarnation, own.peer, digest, now)
+        return [(contact, ask) for contact in due]
+
+    def _is_due(self, contact: Contact, now: float) -> bool:
+        silent = contact.silent(now, self._settings.silence_seconds)
+        period = self._settings.pause_seconds if silent else self._settings.ask_seconds
+        if now - contact.asked_at < period:
+            return False
+        if not contact.acknowledged:
+            return True
+        return not self._is_listed() and self._is_sponsor_due(contact, now)
+
+    def _is_sponsor_due(self, contact: Contact, now: float) -> bool:
+        """Whether a sponsor's answer is to be renewed, or one is to be found."""
+        if contact.sponsored_at == NEVER:
+            return not self._active
+        return now - contact.sponsored_at >= self._settings.sponsor_seconds / 3
+
+    def _observe(self) -> None:
+        """Become a new incarnation after a pause of the loop."""
+        now = self._timers.now
+        paused = now - self._seen
+        self._seen = now
+        adrift = self._active and not self._is_anchored()
+        if adrift or paused > self._settings.pause_seconds:
+            self._renew()
+
+    def _renew(self, above: int = 0) -> None:
+        wall = int(self._timers.wall_now * MICROSECONDS)
+        incarnation = Incarnation(max(self._own.incarnation + 1, above + 1, wall))
+        self._own = Owner(self._own.host, incarnation, self._own.peer)
+        self._forget_standing()
+        now = self._timers.now
+        for contact in self._contacts.values():
+            contact.acknowledged = False
+            contact.sponsored_at = NEVER
+            contact.heard = now
+        for callback in self._renewal_subscribers:
+            callback(incarnation)
+
+    def _forget_standing(self) -> None:
+        self._active = False
+        self._active_since = self._timers.now
+        self._listed: frozenset[HostId] = frozenset()
+        self._listed_since = -NEVER
+        self._listed_until = NEVER
+
+    def _is_listed(self) -> bool:
+        return self._own.host in self._listed
+
+    def _has_sponsor(self) -> bool:
+        oldest = self._timers.now - self._settings.sponsor_seconds
+        return any(
+            c.acknowledged and c.sponsored_at > oldest for c in self._contacts.values()
+        )
+
+    def _is_anchored(self) -> bool:
+        return self._is_listed() or self._has_sponsor()
+
+    def _may_activate_alone(self) -> bool:
+        """Whether the list has shown this host over the time that it may lag."""
+        waited = self._listed_until - self._listed_since
+        return self._is_listed() and waited >= self._settings.silence_seconds
+
+    def _pending(self) -> list[Contact]:
+        now = self._timers.now
+        silence = self._settings.silence_seconds
+        contacts = self._contacts.values()
+        return [c for c in contacts if not (c.acknowledged or c.silent(now, silence))]
+
+    def _settle(self) -> None:
+        if self._active or self._leaving or self._pending():
+            return
+        if self._has_sponsor() or self._may_activate_alone():
+            self._active = True
+            self._active_since = self._timers.now
+
+    def _expire(self) -> None:
+        """Forget hosts that neither the list nor anybody has told of for long."""
+        now = self._timers.now
+        limit = 2 * self._settings.silence_seconds
+        for host, contact in list(self._contacts.items()):
+            if host not in self._listed and contact.silent(now, limit):
+                del self._contacts[host]
+
+    def _view(self) -> tuple[Sighting, ...]:
+        now = self._timers.now
+        silence = self._settings.silence_seconds
+        return tuple(
+            Sighting(contact.host, contact.peer, now - contact.heard)
+            for contact in self._contacts.values()
+            if not contact.silent(now, silence)
+        )
+
+    def _touch(self, host: HostId, peer: str) -> Contact:
+        if host not in self._contacts:
+            self._contacts[host] = Contact(host, peer, self._timers.now)
+        return self._contacts[host]
+
+    def _sight(self, sighting: Sighting) -> None:
+        if sighting.host == self._own.host:
+            return
+        heard = self._timers.now - sighting.age
+        contact = self._contacts.get(sighting.host)
+        if contact is None:
+            self._contacts[sighting.host] = Contact(sighting.host, sighting.peer, heard)
+        else:
+            contact.heard = max(contact.heard, heard)
+
+
+def _digest(names: frozenset[HostId]) -> int:
+    return xxhash.xxh3_64_intdigest("\0".join(sorted(names)).encode())
--- a/damaskramp/ownership/rendezvous.py
+++ b/damaskramp/ownership/rendezvous.py
@@ -8,18 +8,12 @@
 
 from collections.abc import Iterable
 
-import xxhash
-
 from damaskramp.core import HostId, Section, TimerService, ZoneName
+from damaskramp.core.rendezvous import rendezvous_score
 from damaskramp.membership import Member, MemberState, MemberTable
 from damaskramp.ownership.ownership import Owner, Ownership
 
-__all__ = ["ListedOwnership", "rank_members", "rendezvous_score"]
-
-
-def rendezvous_score(name: str, thing: str) -> int:
-    """Score of a name for a thing; the highest owns it."""
-    return xxhash.xxh3_64_intdigest(f"{name}\0{thing}")
+__all__ = ["ListedOwnership", "rank_members"]
 
 
 def rank_members(members: Iterable[Member], thing: str) -> list[Member]:
--- /dev/null
+++ b/damaskramp/ownership/tests/test_activation.py
@@ -0,0 +1,203 @@
+"""The ownership rule under a virtual clock: never two owners at once."""
+
+import testtools
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from damaskramp.core import Section, ServiceName, VirtualTimers, ZoneName
+from damaskramp.membership import Member, MemberTable
+from damaskramp.ownership import (
+    AcknowledgedOwnership,
+    ListedOwnership,
+    Owner,
+    OwnershipSettings,
+)
+from damaskramp.ownership.tests.zone_model import (
+    HOSTS,
+    LIST_LAG_SECONDS,
+    SILENCE_SECONDS,
+    Factory,
+    Zone,
+    acknowledged,
+)
+
+TAKEOVER_SECONDS = 14.0
+EXAMPLES = 60
+SEARCH = 400
+
+
+class ListReader(ListedOwnership):
+    """The baseline, fed with readings of the list."""
+
+    def __init__(self, timers: VirtualTimers, own: Owner) -> None:
+        self._section = Section("members", MemberTable())
+        super().__init__(timers, own.host, ZoneName("z"), self._section)
+
+    def receive_list(self, hosts):
+        members = (
+            Member(host, ZoneName("z"), peer, ServiceName("s")) for host, peer in hosts
+        )
+        self._section.replace(MemberTable(members))
+
+
+class WithoutAcks(AcknowledgedOwnership):
+    def _pending(self):
+        return []
+
+
+class WithoutPauseCheck(AcknowledgedOwnership):
+    def _observe(self):
+        self._seen = self._timers.now
+        super()._observe()
+
+
+class WithoutListing(AcknowledgedOwnership):
+    def _may_activate_alone(self):
+        return self._timers.now - self._active_since >= SILENCE_SECONDS
+
+    def _is_anchored(self):
+        return True
+
+
+class WithoutWaitAlone(AcknowledgedOwnership):
+    def _may_activate_alone(self):
+        return self._is_listed()
+
+
+class WithoutAnchor(AcknowledgedOwnership):
+    def _is_anchored(self):
+        return True
+
+
+class WithoutFence(AcknowledgedOwnership):
+    def may_release(self, thing, releaser):
+        return True
+
+
+def planted(kind: type) -> Factory:
+    return lambda timers, own: kind(OwnershipSettings(SILENCE_SECONDS), timers, own)
+
+
+class ZoneMachine(RuleBasedStateMachine):
+    """Random histories of a zone."""
+
+    factory: Factory = staticmethod(acknowledged)
+
+    @initialize(
+        running=st.sets(st.sampled_from(HOSTS), min_size=1),
+        listed=st.sets(st.sampled_from(HOSTS)),
+        seed=st.integers(0, 2**32 - 1),
+    )
+    def begin(self, running, listed, seed):
+        self.zone = Zone(type(self).factory, seed)
+        self.zone.publish(*(listed | running))
+        for host in sorted(running):
+            self.zone.start(host)
+        self.zone.advance(16.0)
+
+    @rule(seconds=st.sampled_from((0.5, 1.0, 2.5, 4.0, 8.0, 13.0, 30.0)))
+    def advance(self, seconds):
+        self.zone.advance(seconds)
+        assert not self.zone.violations, self.zone.violations[0]
+
+    @rule(host=st.sampled_from(HOSTS))
+    def start(self, host):
+        if host not in self.zone.processes:
+            self.zone.start(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def crash(self, host):
+        if host in self.zone.processes:
+            self.zone.crash(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def stop(self, host):
+        if host in self._running() and hasattr(
+            self.zone.processes[host].ownership, "leave"
+        ):
+            self.zone.stop(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def freeze(self, host):
+        if host in self._running():
+            self.zone.freeze(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def wake(self, host):
+        if host in self.zone.processes and host not in self._running():
+            self.zone.wake(host)
+            self.zone.check()
+
+    @rule(host=st.sampled_from(HOSTS))
+    def list_host(self, host):
+        self.zone.publish(*(self.zone.listed | {host}))
+
+    @rule(host=st.sampled_from(HOSTS))
+    def drop_host(self, host):
+        if host not in self.zone.processes or not self.zone.list_cut[host]:
+            self.zone.publish(*(self.zone.listed - {host}))
+
+    @rule(host=st.sampled_from(HOSTS), lag=st.floats(0.0, LIST_LAG_SECONDS))
+    def lag_list(self, host, lag):
+        self.zone.list_lag[host] = lag
+
+    @precondition(lambda self: self.zone.settled)
+    @rule(host=st.sampled_from(HOSTS))
+    def cut_list(self, host):
+        if host in self._running() and host in self.zone.listed:
+            self.zone.list_cut[host] = True
+
+    @rule(host=st.sampled_from(HOSTS))
+    def join_list(self, host):
+        self.zone.list_cut[host] = False
+
+    @rule(new=st.sets(st.sampled_from(HOSTS), min_size=1, max_size=2))
+    def replace_zone(self, new):
+        for host in list(self.zone.processes):
+            self.zone.crash(host)
+        self.zone.publish(*(self.zone.listed | new))
+        for host in sorted(new):
+            self.zone.start(host)
+
+    def _running(self):
+        return {h for h, p in self.zone.processes.items() if not p.frozen}
+
+
+def search(factory: Factory, examples: int) -> None:
+    machine = type("Machine", (ZoneMachine,), {"factory": staticmethod(factory)})
+    checks = settings(
+        derandomize=True,
+        deadline=None,
+        max_examples=examples,
+        stateful_step_count=40,
+        suppress_health_check=list(HealthCheck),
+        database=None,
+        print_blob=False,
+    )
+    run_state_machine_as_test(machine, settings=checks)
+
+
+class RuleTest(testtools.TestCase):
+    def test_never_two_owners(self):
+        search(acknowledged, EXAMPLES)
+
+    def test_search_finds_fault_of_list_alone(self):
+        self.assertRaises(
+            AssertionError, search, lambda timers, own: ListReader(timers, own), SEARCH
+        )
+
+    def test_search_finds_planted_faults(self):
+        for kind in (WithoutAcks, WithoutPauseCheck, WithoutListing, WithoutFence):
+            error = None
+            try:
+                search(planted(kind), SEARCH)
+            except AssertionError as found:
+                error = found
+            self.assertIsNotNone(error, kind.__name__)
