Membership and broadcast by gossip, wired into the node

Cause: members came from the host list alone; its lag and outages were the fleet's. Conclusion: base for quota and homes.

--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -3,7 +3,14 @@
 import ipaddress
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, field_validator
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    field_validator,
+    model_validator,
+)
 
 __all__ = [
     "Address",
@@ -11,6 +18,7 @@
     "LimitSettings",
     "ListenSettings",
     "LogSettings",
+    "MembershipTimes",
     "NodeIdentity",
     "NodeSettings",
     "PlatformSettings",
@@ -114,6 +122,28 @@
     depth: Annotated[int, Field(gt=0, le=64)] = 32
 
 
+class MembershipTimes(Settings):
+    """Times of membership and ownership.
+
+    Attributes
+    ----------
+    period_seconds : float
+        Time between two probes of one node.
+    silence_seconds : float
+        Silence after which a member loses what it owns; above the lag of the host
+        list and above 16 periods.
+    """
+
+    period_seconds: PositiveSeconds = 1.0
+    silence_seconds: PositiveSeconds = 16.0
+
+    @model_validator(mode="after")
+    def _check_silence(self) -> "MembershipTimes":
+        if self.silence_seconds < 16 * self.period_seconds:
+            raise ValueError("silence_seconds must be at least 16 times period_seconds")
+        return self
+
+
 class LogSettings(Settings):
     """Logging."""
 
@@ -129,4 +159,5 @@
     platform: PlatformSettings
     trust: TrustSettings
     limits: LimitSettings = LimitSettings()
+    membership: MembershipTimes = MembershipTimes()
     log: LogSettings = LogSettings()
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+import numpy as np
 from grpclib.server import Server as GrpcServer
 
 from damaskramp.admission import FixedAdmission
@@ -14,22 +15,31 @@
     HostId,
     Incarnation,
     LoopTimers,
+    ServiceName,
     TimerService,
     ZoneName,
 )
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
-from damaskramp.membership import MemberTable
+from damaskramp.membership import (
+    GossipProtocol,
+    Member,
+    MembershipSettings,
+    MemberTable,
+)
 from damaskramp.node.admin import Admin
 from damaskramp.node.bundle_watch import BundleWatch
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
+from damaskramp.node.gossip import GossipController
+from damaskramp.node.gossip_server import GossipService
 from damaskramp.node.host_watch import HostWatch
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
 from damaskramp.node.telemetry import Telemetry
+from damaskramp.ownership import AcknowledgedOwnership, Owner, OwnershipSettings
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 from damaskramp.quota import StaticSplit
 
@@ -62,6 +72,7 @@
         self._tasks: list[asyncio.Task] = []
         self._build_sections()
         self._build_clients()
+        self._build_gossip()
         self._build_call_path()
         self._build_servers()
         self._bundle.subscribe(self._follow_bundle)
@@ -100,6 +111,29 @@
         limit = settings.limits.whole_answer_bytes
         self._backend = _client(backend, settings.limits.connections, limit)
 
+    def _build_gossip(self) -> None:
+        times = self._settings.membership
+        own = _own_member(self._settings, self._incarnation)
+        self._ownership = AcknowledgedOwnership(
+            OwnershipSettings(times.silence_seconds, times.period_seconds),
+            self._timers,
+            Owner(own.host, own.incarnation, own.peer),
+        )
+        gossip = MembershipSettings(period_seconds=times.period_seconds)
+        seed = [*own.host.encode(), own.incarnation]
+        random = np.random.default_rng(seed)
+        protocol = GossipProtocol(gossip, self._timers, own, random)
+        self._broadcast = protocol.broadcast
+        self._gossip = GossipController(
+            gossip,
+            self._timers,
+            protocol,
+            self._ownership,
+            self._members,
+            self._pool,
+            self._telemetry,
+        )
+
     def _build_call_path(self) -> None:
         settings = self._settings
         zone = ZoneName(settings.node.zone)
@@ -148,7 +182,8 @@
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
-        self._peer = GrpcServer([PeerService(self._timers, self._executor)])
+        gossip = GossipService(self._gossip, self._ownership)
+        self._peer = GrpcServer([PeerService(self._timers, self._executor), gossip])
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -164,6 +199,7 @@
         await self._http.start(*_split(listen.http))
         self._spawn(self._watch_bundle().run())
         self._spawn(self._watch_hosts().run())
+        self._spawn(self._gossip.run())
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
         LOGGER.info("started", extra=fields)
 
@@ -171,6 +207,7 @@
         """Finish what is running, then close; False when time ran out."""
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
+        await self._gossip.leave()
         finished = await self._http.drain(self._settings.limits.drain_seconds)
         self._peer.close()
         await self._peer.wait_closed()
@@ -178,6 +215,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._gossip.close()
         self._pool.close()
         self._backend.close()
         self._platform.close()
@@ -191,7 +229,8 @@
         return {
             "host": self._settings.node.host,
             "zone": self._settings.node.zone,
-            "incarnation": self._incarnation,
+            "incarnation": self._ownership.own.incarnation,
+            "ownership_active": self._ownership.active,
             "state": self._lifecycle.value.value,
             "bundle": None if view is None else _bundle_status(view),
             "members": [_member_status(member) for member in self._members.value],
@@ -212,7 +251,8 @@
 
     def _watch_hosts(self) -> HostWatch:
         hosts = HttpHostList(self._platform)
-        return HostWatch(self._settings, self._members, hosts, self._telemetry)
+        receive = self._gossip.receive_list
+        return HostWatch(self._settings, receive, hosts, self._telemetry)
 
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._limiter.set_bundle(view)
@@ -238,6 +278,16 @@
     return HttpClient(host, port, idle, whole_bytes)
 
 
+def _own_member(settings: NodeSettings, incarnation: Incarnation) -> Member:
+    return Member(
+        HostId(settings.node.host),
+        ZoneName(settings.node.zone),
+        settings.listen.peer,
+        ServiceName(settings.backend.service if settings.backend else ""),
+        incarnation=incarnation,
+    )
+
+
 def _bundle_status(view: BundleView) -> dict:
     return {
         "version": view.version,
@@ -252,4 +302,5 @@
         "zone": member.zone,
         "service": member.service,
         "state": member.state.value,
+        "incarnation": member.incarnation,
     }
--- a/damaskramp/node/host_watch.py
+++ b/damaskramp/node/host_watch.py
@@ -1,10 +1,11 @@
 """Following the platform's list of hosts."""
 
 import asyncio
+from collections.abc import Callable
 
 from damaskramp.config import NodeSettings
-from damaskramp.core import HostId, Section, ServiceName, ZoneName
-from damaskramp.membership import Member, MemberState, MemberTable
+from damaskramp.core import HostId, ServiceName, ZoneName
+from damaskramp.membership import ListedMember
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.platform import HostList, ListedHost
 
@@ -12,14 +13,14 @@
 
 
 class HostWatch:
-    """Controller of the blackboard's members section.
+    """Reads the host list again and again.
 
     Parameters
     ----------
     settings : NodeSettings
         Settings of the node.
-    section : Section of MemberTable
-        Section that it writes.
+    receive : callable
+        Taken with each reading.
     hosts : HostList
         Published list.
     telemetry : Telemetry
@@ -29,12 +30,12 @@
     def __init__(
         self,
         settings: NodeSettings,
-        section: Section[MemberTable],
+        receive: Callable[[list[ListedMember]], None],
         hosts: HostList,
         telemetry: Telemetry,
     ) -> None:
         self._settings = settings
-        self._section = section
+        self._receive = receive
         self._hosts = hosts
         self._telemetry = telemetry
 
@@ -43,19 +44,17 @@
         while True:
             answer = await self._hosts.read()
             if answer.is_ok():
-                self._section.replace(MemberTable(_member(h) for h in answer.ok))
-                self._telemetry.value("members", len(self._section.value))
+                self._receive([_member(host) for host in answer.ok])
             else:
                 self._telemetry.event("host_list_unreadable")
             await asyncio.sleep(self._settings.platform.hosts_poll_seconds)
 
 
-def _member(listed: ListedHost) -> Member:
-    leaving = listed.state == "leaving"
-    return Member(
+def _member(listed: ListedHost) -> ListedMember:
+    return ListedMember(
         HostId(listed.host),
         ZoneName(listed.zone),
         listed.peer,
         ServiceName(listed.service),
-        MemberState.LEAVING if leaving else MemberState.LIVE,
+        listed.state == "leaving",
     )
--- /dev/null
+++ b/damaskramp/node/ownership_codec.py
@@ -0,0 +1,73 @@
+"""Messages of ownership to and from their form on the wire."""
+
+from damaskramp.core import HostId, Incarnation
+from damaskramp.ownership import Ack, Ask, Sighting
+from damaskramp.wire import membership_pb2
+
+__all__ = ["decode_ack", "decode_ask", "encode_ack", "encode_ask"]
+
+MILLISECONDS = 1000
+
+
+def encode_ask(ask: Ask) -> membership_pb2.OwnershipAsk:
+    """Form of an ask on the wire."""
+    return membership_pb2.OwnershipAsk(
+        host=ask.host,
+        incarnation=ask.incarnation,
+        peer=ask.peer,
+        view_digest=ask.view_digest,
+        asked_at=ask.asked_at,
+    )
+
+
+def decode_ask(message: membership_pb2.OwnershipAsk) -> Ask:
+    """Ask from the wire."""
+    return Ask(
+        HostId(message.host),
+        Incarnation(message.incarnation),
+        message.peer,
+        message.view_digest,
+        message.asked_at,
+    )
+
+
+def encode_ack(ack: Ack | None) -> membership_pb2.OwnershipAck:
+    """Form of an acknowledgement on the wire; empty where there is none."""
+    if ack is None:
+        return membership_pb2.OwnershipAck()
+    return membership_pb2.OwnershipAck(
+        host=ack.host,
+        incarnation=ack.incarnation,
+        peer=ack.peer,
+        active=ack.active,
+        listed=ack.listed,
+        acknowledged=ack.acknowledged,
+        asked_at=ack.asked_at,
+        view=[_encode_sighting(sighting) for sighting in ack.view],
+    )
+
+
+def decode_ack(message: membership_pb2.OwnershipAck) -> Ack | None:
+    """Acknowledgement from the wire, None where it was refused."""
+    if not message.acknowledged:
+        return None
+    return Ack(
+        HostId(message.host),
+        Incarnation(message.incarnation),
+        message.peer,
+        message.active,
+        message.listed,
+        Incarnation(message.acknowledged),
+        message.asked_at,
+        tuple(
+            Sighting(HostId(s.host), s.peer, s.age_ms / MILLISECONDS)
+            for s in message.view
+        ),
+    )
+
+
+def _encode_sighting(sighting: Sighting) -> membership_pb2.Sighting:
+    age_ms = max(0, int(sighting.age * MILLISECONDS))
+    return membership_pb2.Sighting(
+        host=sighting.host, peer=sighting.peer, age_ms=age_ms
+    )
