--- a/damaskramp/membership/protocol.py
+++ b/damaskramp/membership/protocol.py
@@ -86,6 +86,7 @@
         self._roster = Roster(settings, timers, own)
         self._broadcast = GossipBroadcast(own.host, settings.items)
         self._round: list[str] = []
+        self._accused: list[str] = []
         self._periods = 0
         self._begun = timers.now
         self._trusts_after = timers.now
@@ -151,7 +152,10 @@
         """Note that a probe begun at a time failed; whether it is now suspected."""
         if begun < self._trusts_after:
             return False
-        return self._roster.suspect(host)
+        if not self._roster.suspect(host):
+            return False
+        self._accused.append(host)
+        return True
 
     def sync_request(self) -> SyncRequest:
         """Request for what this node lacks."""
@@ -208,6 +212,9 @@
         dead = self._roster.others(zone, dead=True)
         if dead and self._periods % DEAD_PROBE_PERIODS == 0:
             return self._any(dead)
+        accused = self._next_accused()
+        if accused is not None:
+            return accused
         while self._round:
             record = self._roster.get(self._round.pop())
             if record is not None and not record.is_dead:
@@ -218,6 +225,15 @@
             return None
         return self._roster.get(self._round.pop()).update
 
+    def _next_accused(self) -> Update | None:
+        """Member that this node suspects, so that it hears of that and refutes."""
+        records = (self._roster.get(host) for host in self._accused)
+        suspects = [r.update for r in records if r is not None and r.is_suspect]
+        self._accused = [update.host for update in suspects]
+        if not suspects or self._periods % 2:
+            return None
+        return suspects[self._periods // 2 % len(suspects)]
+
     def _far_contacts(self) -> tuple[Update, ...]:
         """One member of another zone, where this node speaks for its own."""
         zones = [zone for zone in self._roster.zones() if self._speaks_to(zone)]
--- a/damaskramp/membership/records.py
+++ b/damaskramp/membership/records.py
@@ -66,6 +66,11 @@
         """Whether it is taken for dead."""
         return self.update.state == STATE_DEAD
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether it may still refute."""
+        return self.update.state == STATE_SUSPECT
+
     @property
     def version(self) -> str | None:
         """Text that differs between any two states worth syncing."""
--- a/damaskramp/membership/settings.py
+++ b/damaskramp/membership/settings.py
@@ -32,7 +32,7 @@
     """
 
     period_seconds: float = 1.0
-    suspicion_periods: int = 3
+    suspicion_periods: int = 4
     helpers: int = 2
     piggyback_bytes: int = 400
     sync_bytes: int = 8192
