--- a/damaskramp/membership/protocol.py
+++ b/damaskramp/membership/protocol.py
@@ -94,6 +94,11 @@
         self._differing = 0
         self._synced_period = -settings.sync_periods
 
+    @property
+    def periods(self) -> int:
+        """Periods begun."""
+        return self._periods
+
     @property
     def roster(self) -> Roster:
         """Records of all members."""
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -231,6 +231,7 @@
             "zone": self._settings.node.zone,
             "incarnation": self._ownership.own.incarnation,
             "ownership_active": self._ownership.active,
+            "periods": self._gossip.protocol.periods,
             "state": self._lifecycle.value.value,
             "bundle": None if view is None else _bundle_status(view),
             "members": [_member_status(member) for member in self._members.value],
