Members of a lost zone go, those of a cut zone come back

Cause: nobody took the members of a wholly lost zone for dead; after a long cut with both lists trimmed, each side held the other for dead and no message passed. Ruled out: taking another zone's word for a death in this zone (neighbours would let go of live members when the cut heals); it makes a suspect only. Change: unlisted members of other zones are probed directly, three misses in a row end them; contacts try dead members of a zone without live ones; suspects of another zone die by its word only.

--- a/damaskramp/membership/protocol.py
+++ b/damaskramp/membership/protocol.py
@@ -49,12 +49,15 @@
         Member of the zone to probe; its failure counts.
     contacts : tuple of Update
         Members to tell news, whose failure doesn't count.
+    unlisted : Update or None
+        Member of another zone that the list doesn't show, to probe.
     sync : Update or None
         Member to sync with.
     """
 
     probe: Update | None
     contacts: tuple[Update, ...]
+    unlisted: Update | None
     sync: Update | None
 
 
@@ -88,6 +91,8 @@
         self._round: list[str] = []
         self._accused: list[str] = []
         self._periods = 0
+        self._spoken_zones: list[str] = []
+        self._spoken_revision = -1
         self._begun = timers.now
         self._trusts_after = timers.now
         self._differs_from: str | None = None
@@ -116,7 +121,13 @@
         self._roster.expire()
         zone_members = self._roster.others(self._roster.own.zone)
         self._broadcast.set_zone_members(len(zone_members) + 1)
-        return Period(self._next_probe(), self._far_contacts(), self._next_sync())
+        unlisted = self._roster.unlisted()
+        return Period(
+            self._next_probe(),
+            self._far_contacts(),
+            self._any(unlisted) if unlisted else None,
+            self._next_sync(),
+        )
 
     def message(self, to: Update) -> Gossip:
         """Probe for a member, or an answer to its probe."""
@@ -138,6 +149,7 @@
 
     def receive_answer(self, message: Gossip) -> None:
         """Take the answer to a probe."""
+        self._roster.answered(message.sender.host)
         self._receive(message.sender, message.updates, message.items)
         if message.digest == self._digest():
             self._differing = 0
@@ -162,6 +174,11 @@
         self._accused.append(host)
         return True
 
+    def miss(self, host: str, begun: float) -> None:
+        """Note that an unlisted member of another zone did not answer."""
+        if begun >= self._trusts_after:
+            self._roster.miss(host)
+
     def sync_request(self) -> SyncRequest:
         """Request for what this node lacks."""
         self._synced_period = self._periods
@@ -189,9 +206,10 @@
         self._receive(answer.sender, answer.updates, answer.items)
 
     def _receive(self, sender: Update, updates: Iterable, items: Iterable) -> None:
+        far = sender.zone != self._roster.own.zone
         self._roster.receive(sender)
         for update in updates:
-            self._roster.receive(update)
+            self._roster.receive(update, far)
         for item in items:
             self._broadcast.receive(item)
 
@@ -241,11 +259,17 @@
 
     def _far_contacts(self) -> tuple[Update, ...]:
         """One member of another zone, where this node speaks for its own."""
-        zones = [zone for zone in self._roster.zones() if self._speaks_to(zone)]
+        if self._spoken_revision != self._roster.revision:
+            self._spoken_revision = self._roster.revision
+            self._spoken_zones = [z for z in self._roster.zones() if self._speaks_to(z)]
+        zones = self._spoken_zones
         if not zones:
             return ()
         zone = zones[self._periods % len(zones)]
         others = [r for r in self._roster.others(zone) if _answers(r)]
+        dead = self._roster.others(zone, dead=True)
+        if dead and (not others or self._periods % DEAD_PROBE_PERIODS == 0):
+            others = dead
         return (self._any(others),) if others else ()
 
     def _speaks_to(self, zone: str) -> bool:
--- a/damaskramp/membership/records.py
+++ b/damaskramp/membership/records.py
@@ -54,12 +54,15 @@
         Monotonic time of the last news.
     dies_at : float or None
         When a suspected member is taken for dead.
+    misses : int
+        Probes in a row that an unlisted member of another zone did not answer.
     """
 
     update: Update
     listed: str
     changed_at: float
     dies_at: float | None = None
+    misses: int = 0
 
     @property
     def is_dead(self) -> bool:
--- a/damaskramp/membership/roster.py
+++ b/damaskramp/membership/roster.py
@@ -21,6 +21,9 @@
 
 FAR_TIMES = 6
 
+UNLISTED_MISSES = 3
+"""Unanswered probes in a row after which an unlisted member is taken for dead."""
+
 
 @dataclass(frozen=True, slots=True)
 class ListedMember:
@@ -59,10 +62,12 @@
             incarnation=own.incarnation,
         )
         self._records: dict[str, MemberRecord] = {}
+        self._zones: dict[str, dict[str, MemberRecord]] = {}
         self._digests = BucketDigests()
         self._near: Dissemination[Update] = Dissemination()
         self._far: Dissemination[Update] = Dissemination()
         self._changed = False
+        self._revision = 0
         self._put(self._own)
 
     @property
@@ -75,6 +80,11 @@
         """Digests of all members that are not dead."""
         return self._digests
 
+    @property
+    def revision(self) -> int:
+        """Number that grows with each piece of news."""
+        return self._revision
+
     def __iter__(self) -> Iterator[MemberRecord]:
         return iter(self._records.values())
 
@@ -84,18 +94,16 @@
 
     def others(self, zone: str, dead: bool = False) -> list[MemberRecord]:
         """Other members of a zone, those taken for dead where `dead`."""
+        own = self._own.host
         return [
             record
-            for record in self._records.values()
-            if record.update.zone == zone
-            and record.is_dead == dead
-            and record.update.host != self._own.host
+            for host, record in self._zones.get(zone, {}).items()
+            if record.is_dead == dead and host != own
         ]
 
     def zones(self) -> list[str]:
         """Other zones with members."""
-        zones = {r.update.zone for r in self._records.values() if not r.is_dead}
-        return sorted(zones - {self._own.zone})
+        return sorted(self._zones.keys() - {self._own.zone})
 
     def take_table(self) -> MemberTable | None:
         """Table of all members, None where nothing has changed since the last."""
@@ -134,8 +142,14 @@
             if not record.update.incarnation:
                 self._remove(host)
 
-    def receive(self, update: Update) -> bool:
-        """Take news of a member; whether it was new."""
+    def receive(self, update: Update, far: bool = False) -> bool:
+        """Take news of a member, told by another zone where `far`.
+
+        Another zone's word that a member of this zone is dead makes it a suspect
+        only: after a cut it refutes before its neighbours let go of it.
+        """
+        if far and update.zone == self._own.zone and update.state == STATE_DEAD:
+            update = _in_state(update, STATE_SUSPECT)
         if update.host == self._own.host:
             self._refute(update)
             return False
@@ -156,6 +170,32 @@
             self._put(_in_state(record.update, STATE_SUSPECT))
         return True
 
+    def unlisted(self) -> list[MemberRecord]:
+        """Members of other zones that the host list doesn't show."""
+        return [
+            record
+            for zone in self.zones()
+            for record in self.others(zone)
+            if not record.listed
+        ]
+
+    def miss(self, host: str) -> bool:
+        """Count an unanswered probe of an unlisted member; whether it died of it."""
+        record = self._records.get(host)
+        if record is None or record.listed or record.is_dead:
+            return False
+        record.misses += 1
+        if record.misses < UNLISTED_MISSES:
+            return False
+        self._put(_in_state(record.update, STATE_DEAD))
+        return True
+
+    def answered(self, host: str) -> None:
+        """Forget unanswered probes."""
+        record = self._records.get(host)
+        if record is not None:
+            record.misses = 0
+
     def expire(self) -> int:
         """Take suspects for dead and forget old dead ones; how many died."""
         now = self._timers.now
@@ -207,11 +247,15 @@
         now = self._timers.now
         if record is None:
             record = self._records[host] = MemberRecord(update, "", now)
+        elif record.update.zone != update.zone:
+            self._zones[record.update.zone].pop(host)
+        self._zones.setdefault(update.zone, {})[host] = record
         record.update = update
         record.changed_at = now
         record.dies_at = self._death(update)
         self._digests.set(host, record.version)
         self._changed = True
+        self._revision += 1
         if update.incarnation or update.state != STATE_LIVE:
             self._spread(update)
 
@@ -221,14 +265,15 @@
         return old and record.is_dead and not record.listed
 
     def _death(self, update: Update) -> float | None:
-        if update.state != STATE_SUSPECT:
+        """Time of death of a suspect; that of another zone is for its zone to tell."""
+        if update.state != STATE_SUSPECT or update.zone != self._own.zone:
             return None
         periods = self._settings.suspicion_periods
         return self._timers.now + periods * self._settings.period_seconds
 
     def _spread(self, update: Update) -> None:
         size = update.ByteSize()
-        members = sum(r.update.zone == self._own.zone for r in self._records.values())
+        members = len(self._zones[self._own.zone])
         self._near.put(update.host, update, size, retransmissions(members))
         if update.zone == self._own.zone and update.state != STATE_SUSPECT:
             self._far.put(update.host, update, size, FAR_TIMES)
@@ -240,7 +285,11 @@
             self._changed = True
 
     def _remove(self, host: str) -> None:
-        del self._records[host]
+        record = self._records.pop(host)
+        zone = self._zones[record.update.zone]
+        del zone[host]
+        if not zone:
+            del self._zones[record.update.zone]
         self._digests.set(host, None)
         self._near.drop(host)
         self._far.drop(host)
--- a/damaskramp/membership/tests/network.py
+++ b/damaskramp/membership/tests/network.py
@@ -121,6 +121,8 @@
             self._probe(station, period.probe)
         for contact in period.contacts:
             self._exchange(station, contact, lambda: None)
+        if period.unlisted is not None:
+            self._check_unlisted(station, period.unlisted)
         if period.sync is not None:
             self._sync(station, period.sync)
 
@@ -142,6 +144,17 @@
 
         self._after(station, ANSWER_SECONDS, ask_helpers)
 
+    def _check_unlisted(self, station: Station, target: Update) -> None:
+        begun = self.timers.now
+        answered = []
+        self._exchange(station, target, lambda: answered.append(True))
+
+        def judge() -> None:
+            if not answered:
+                station.protocol.miss(target.host, begun)
+
+        self._after(station, ANSWER_SECONDS, judge)
+
     def _indirect(self, station, helper, target, answered) -> None:
         other = self.stations[helper.host]
         gossip = station.protocol.message(helper)
--- a/damaskramp/membership/tests/test_protocol.py
+++ b/damaskramp/membership/tests/test_protocol.py
@@ -87,6 +87,37 @@
         for host in net.stations:
             self.assertEqual(LIVE, net.seen(host))
 
+    def test_lost_zone_goes_once_the_list_drops_it(self):
+        net = network(zones=2, nodes=4)
+        lost = [host for host in net.stations if host.startswith("z1")]
+        for host in lost:
+            net.stations[host].running = False
+        net.timers.advance(30.0)
+        for host in lost:
+            self.assertEqual(LIVE, net.seen(host))
+        near = [member for member in net.listed if member.zone == "z0"]
+        for station in net.stations.values():
+            station.protocol.roster.receive_list(near)
+        net.timers.advance(30.0)
+        for host in lost:
+            self.assertEqual(DEAD, net.seen(host))
+
+    def test_zone_cut_off_and_unlisted_returns(self):
+        net = network(zones=2, nodes=4)
+        listed = net.listed
+        net.cut = {"z1"}
+        for station in net.stations.values():
+            near = [member for member in listed if member.zone == station.zone]
+            station.protocol.roster.receive_list(near)
+        net.timers.advance(60.0)
+        self.assertEqual(MemberState.DEAD, net.stations["z0-n0"].state_of("z1-n0"))
+        net.cut = set()
+        for station in net.stations.values():
+            station.protocol.roster.receive_list(listed)
+        net.timers.advance(30.0)
+        for host in net.stations:
+            self.assertEqual(LIVE, net.seen(host))
+
     def test_member_never_heard_of_goes_with_the_list(self):
         net = Network(1, 2)
         roster = net.stations["z0-n0"].protocol.roster
--- a/damaskramp/node/gossip.py
+++ b/damaskramp/node/gossip.py
@@ -130,6 +130,8 @@
             self._spawn(self._check(period.probe))
         for contact in period.contacts:
             self._spawn(self._probe(contact))
+        if period.unlisted is not None:
+            self._spawn(self._check_unlisted(period.unlisted))
         if period.sync is not None:
             self._spawn(self._sync(period.sync))
         self._drive_ownership()
@@ -158,6 +160,11 @@
             self._telemetry.event("member_suspected")
             self._publish()
 
+    async def _check_unlisted(self, target: Update) -> None:
+        begun = self._timers.now
+        if not await self._probe(target):
+            self._protocol.miss(target.host, begun)
+
     async def _probe(self, target: Update) -> bool:
         stub = self._stub(target.peer)
         timeout = PROBE_PERIODS * self._settings.period_seconds
