--- a/damaskramp/node/fields.py
+++ b/damaskramp/node/fields.py
@@ -89,7 +89,7 @@
     --------
     >>> request = HttpRequest("GET", "/a%62/c?d=e", ((b"cookie", b"f=g; h"),))
     >>> sorted(words_outside_key_fields(request))
-    [b'ab', b'c', b'd', b'e', b'f', b'g', b'h']
+    [b'ab', b'c', b'd', b'e', b'f', b'f=g;', b'g', b'h']
     """
     path, query = split_target(request.target)
     words = {unquote_to_bytes(part) for part in path.split("/") if part}
