--- /dev/null
+++ b/damaskramp/cli/burn.py
@@ -0,0 +1,85 @@
+"""``damaskramp-burn``: which error budget burns, how fast, and when it is gone."""
+
+import asyncio
+from collections.abc import Sequence
+
+from absl import flags
+from pydantic import TypeAdapter, ValidationError
+
+from damaskramp.cli.common import ExitCode, fail, run_program
+from damaskramp.cli.targets import define_target_flags, find_targets
+from damaskramp.operations import FleetReader, NodeAnswer
+from damaskramp.slo import compute_burn
+from damaskramp.slo.burn import Goal, NodeWindows
+from damaskramp.slo.report import to_json, to_page, to_table
+
+__all__ = ["main"]
+
+USAGE = """
+damaskramp-burn --platform=IP:PORT [--zone=Z]   nodes that the platform lists
+damaskramp-burn --node=IP:PORT                  one node (may be repeated)
+
+Shows the burn rate of each service-level objective, per service, class and team,
+over windows from 5 minutes to 3 days: as a table, as JSON (--json), or as a page
+that stands by itself (--page=FILE). A share in brackets says how much of a window
+the nodes were there to count.
+
+Exit codes: 0 no budget burns too fast, 1 one does, 2 bad command line, 3 a node or
+the platform can't be reached.
+"""
+
+FLAGS = flags.FlagValues()
+define_target_flags(FLAGS)
+flags.DEFINE_string("page", "", "write an HTML page to this file", flag_values=FLAGS)
+
+WINDOWS = TypeAdapter(tuple[NodeWindows, ...])
+GOALS = TypeAdapter(tuple[Goal, ...])
+
+
+def main() -> None:
+    """Run the program."""
+    run_program("damaskramp-burn", USAGE, _main, FLAGS)
+
+
+def _main(arguments: Sequence[str]) -> int:
+    if arguments:
+        return fail(f"damaskramp-burn: unexpected argument {arguments[0]!r}")
+    return asyncio.run(_report())
+
+
+async def _report() -> int:
+    reader = FleetReader(FLAGS.timeout)
+    targets = await find_targets(FLAGS, reader)
+    if targets.is_error():
+        message = f"damaskramp-burn: {targets.error}"
+        unreachable = targets.error.startswith("platform")
+        return fail(message, ExitCode.UNREACHABLE if unreachable else ExitCode.USAGE)
+    answers = await reader.read(targets.ok, "/slo")
+    read = [answer for answer in answers if answer.document is not None]
+    try:
+        goals, windows = _parse(read)
+    except ValidationError as error:
+        return fail(f"damaskramp-burn: a node's answer can't be read: {error}")
+    burns = compute_burn(goals, windows)
+    reached = f"{len(read)} of {len(answers)} nodes read"
+    if FLAGS.page:
+        try:
+            with open(FLAGS.page, "w", encoding="utf-8") as file:
+                file.write(to_page(burns, reached))
+        except OSError as error:
+            return fail(f"{FLAGS.page}: {error.strerror}", ExitCode.FAILED)
+    print(to_json(burns, reached) if FLAGS.json else to_table(burns, reached))
+    if len(read) < len(answers):
+        return ExitCode.UNREACHABLE
+    return ExitCode.FAILED if any(burn.alert for burn in burns) else ExitCode.OK
+
+
+def _parse(read: list[NodeAnswer]) -> tuple[list[Goal], list[NodeWindows]]:
+    """Goals of the newest bundle, and the windows of every node."""
+    windows: list[NodeWindows] = []
+    newest: dict = {"version": 0, "goals": []}
+    for answer in read:
+        windows += WINDOWS.validate_python(answer.document["series"])
+        if answer.document["version"] >= newest["version"]:
+            newest = answer.document
+    return list(GOALS.validate_python(newest["goals"])), windows
--- /dev/null
+++ b/damaskramp/cli/status.py
@@ -0,0 +1,111 @@
+"""``damaskramp-status``: one node, a zone or the fleet at a glance."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Sequence
+
+import orjson
+from absl import flags
+
+from damaskramp.cli.common import ExitCode, fail, run_program
+from damaskramp.cli.targets import define_target_flags, find_targets
+from damaskramp.operations import FleetReader, NodeAnswer, format_table
+
+__all__ = ["main"]
+
+USAGE = """
+damaskramp-status --node=IP:PORT            one node (may be repeated)
+damaskramp-status --platform=IP:PORT        every node that the platform lists
+damaskramp-status --platform=... --zone=Z   the nodes of one zone
+
+Shows each node's state, bundle in force, members, backend server and rates, then
+where each bundle version stands. What can't be reached is said.
+
+Exit codes: 0 good, 2 bad command line, 3 a node or the platform can't be reached.
+"""
+
+FLAGS = flags.FlagValues()
+define_target_flags(FLAGS)
+
+HEAD = ("host", "zone", "state", "bundle", "members", "service", "running", "limit")
+DIGEST_DIGITS = 8
+
+
+def main() -> None:
+    """Run the program."""
+    run_program("damaskramp-status", USAGE, _main, FLAGS)
+
+
+def _main(arguments: Sequence[str]) -> int:
+    if arguments:
+        return fail(f"damaskramp-status: unexpected argument {arguments[0]!r}")
+    return asyncio.run(_show())
+
+
+async def _show() -> int:
+    reader = FleetReader(FLAGS.timeout)
+    targets = await find_targets(FLAGS, reader)
+    if targets.is_error():
+        message = f"damaskramp-status: {targets.error}"
+        unreachable = targets.error.startswith("platform")
+        return fail(message, ExitCode.UNREACHABLE if unreachable else ExitCode.USAGE)
+    answers = await reader.read(targets.ok, "/status")
+    print(_json(answers) if FLAGS.json else _text(answers))
+    missing = any(answer.document is None for answer in answers)
+    return ExitCode.UNREACHABLE if missing else ExitCode.OK
+
+
+def _json(answers: list[NodeAnswer]) -> str:
+    documents = [
+        answer.document
+        or {
+            "host": answer.target.host,
+            "zone": answer.target.zone,
+            "unreachable": answer.problem,
+        }
+        for answer in answers
+    ]
+    return orjson.dumps(documents, option=orjson.OPT_INDENT_2).decode()
+
+
+def _text(answers: list[NodeAnswer]) -> str:
+    parts = [format_table(HEAD, [_row(answer) for answer in answers])]
+    reached = [answer.document for answer in answers if answer.document]
+    parts.append(f"{len(reached)} of {len(answers)} nodes reached")
+    versions = Counter(_bundle_text(document) for document in reached)
+    for text, count in versions.most_common():
+        parts.append(f"bundle {text}: {count} nodes")
+    if len(versions) > 1:
+        parts.append("the nodes do not agree on the bundle")
+    return "\n".join(parts)
+
+
+def _row(answer: NodeAnswer) -> tuple[object, ...]:
+    document = answer.document
+    if document is None:
+        text = f"UNREACHABLE ({answer.problem})"
+        return (answer.target.host, answer.target.zone, text, "", "", "", "", "")
+    backend = document["backend"]
+    return (
+        document["host"],
+        document["zone"],
+        document["state"],
+        _bundle_text(document),
+        _members_text(document["members"]),
+        backend["service"] or "-",
+        backend["running"],
+        backend["limit"],
+    )
+
+
+def _bundle_text(document: dict) -> str:
+    bundle = document["bundle"]
+    if bundle is None:
+        return "none"
+    return f"{bundle['version']} ({bundle['digest'][:DIGEST_DIGITS]})"
+
+
+def _members_text(members: list[dict]) -> str:
+    states = Counter(member["state"] for member in members)
+    others = [f"{count} {state}" for state, count in states.items() if state != "live"]
+    return ", ".join([f"{states['live']} live", *others])
--- /dev/null
+++ b/damaskramp/cli/targets.py
@@ -0,0 +1,44 @@
+"""Which nodes an operators' program reads: flags and their meaning."""
+
+import re
+
+from absl import flags
+from expression import Error, Ok, Result
+
+from damaskramp.operations import FleetReader, Target
+
+__all__ = ["define_target_flags", "find_targets"]
+
+ADDRESS = re.compile(r"^[\[\]0-9A-Fa-f.:]+:[0-9]{1,5}$")
+
+
+def define_target_flags(values: flags.FlagValues) -> None:
+    """Define ``--node``, ``--platform``, ``--zone`` and ``--timeout``."""
+    flags.DEFINE_multi_string(
+        "node", [], "IP:PORT of a node's operators' endpoint", flag_values=values
+    )
+    flags.DEFINE_string(
+        "platform",
+        "",
+        "IP:PORT of the platform; reads the nodes that it lists",
+        flag_values=values,
+    )
+    flags.DEFINE_string("zone", "", "only nodes of this zone", flag_values=values)
+    flags.DEFINE_float("timeout", 3.0, "seconds for each node", flag_values=values)
+    flags.DEFINE_bool("json", False, "write JSON, not a table", flag_values=values)
+
+
+async def find_targets(
+    values: flags.FlagValues, reader: FleetReader
+) -> Result[list[Target], str]:
+    """Nodes that the flags name."""
+    for address in [*values.node, values.platform]:
+        if address and not ADDRESS.match(address):
+            return Error(f"{address!r} is not IP:PORT")
+    named = [Target(address, "", address) for address in values.node]
+    if not values.platform:
+        return Ok(named) if named else Error("name nodes by --node or --platform")
+    listed = await reader.listed(values.platform, values.zone)
+    if listed.is_error():
+        return Error(f"platform {values.platform}: {listed.error.kind.value}")
+    return Ok(named + listed.ok)
--- a/damaskramp/http/client.py
+++ b/damaskramp/http/client.py
@@ -13,11 +13,18 @@
 import h11
 from expression import Error, Ok, Result
 
-from damaskramp.http.messages import BODILESS_STATUSES, HttpRequest, HttpResponse
+from damaskramp.http.messages import (
+    BODILESS_STATUSES,
+    BrokenAnswerError,
+    HttpRequest,
+    HttpResponse,
+)
 
 __all__ = ["HttpClient", "TransportError", "TransportErrorKind"]
 
 READ_BYTES = 64 * 1024
+TAIL_SECONDS = 30.0
+"""Longest pause within the rest of a large answer."""
 
 
 class TransportErrorKind(Enum):
@@ -63,7 +70,10 @@
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.h11.receive_data(await self.reader.read(READ_BYTES))
+            data = await self.reader.read(READ_BYTES)
+            if not data and self.h11.their_state is h11.SEND_RESPONSE:
+                raise ConnectionResetError("connection closed before the answer")
+            self.h11.receive_data(data)
 
 
 class HttpClient:
@@ -190,7 +200,7 @@
         finished = False
         try:
             while True:
-                event = await connection.next_event()
+                event = await self._next_of_tail(connection)
                 if isinstance(event, h11.EndOfMessage):
                     finished = True
                     break
@@ -201,6 +211,13 @@
             else:
                 self._drop(connection)
 
+    async def _next_of_tail(self, connection: _Connection) -> object:
+        try:
+            async with asyncio.timeout(TAIL_SECONDS):
+                return await connection.next_event()
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            raise BrokenAnswerError(str(error)) from error
+
     def _put_back(self, connection: _Connection) -> None:
         state = connection.h11
         done = state.our_state is h11.DONE and state.their_state is h11.DONE
--- a/damaskramp/http/messages.py
+++ b/damaskramp/http/messages.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "BODILESS_STATUSES",
+    "BrokenAnswerError",
     "Headers",
     "HttpRequest",
     "HttpResponse",
@@ -17,6 +18,10 @@
 """Name and value pairs; names are lower case."""
 
 
+class BrokenAnswerError(ConnectionError):
+    """The rest of an answer did not come."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A whole request.
--- a/damaskramp/http/server.py
+++ b/damaskramp/http/server.py
@@ -10,11 +10,13 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import h11
 
 from damaskramp.http.messages import (
     BODILESS_STATUSES,
+    BrokenAnswerError,
     Headers,
     HttpRequest,
     HttpResponse,
@@ -24,6 +26,14 @@
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
+RefusalFormat = Callable[[int, str], HttpResponse]
+"""Function from status and detail to the response for an unreadable request."""
+
+
+def plain_refusal(status: int, detail: str) -> HttpResponse:
+    """Plain-text response for a request that could not be read."""
+    return HttpResponse(status, ((b"content-type", b"text/plain"),), detail.encode())
+
 
 @dataclass(frozen=True, slots=True)
 class HttpServerSettings:
@@ -59,11 +69,19 @@
         Bounds.
     handler : callable
         Coroutine function from request to response.
+    refusal_format : callable
+        Form of the answer to a request that could not be read.
     """
 
-    def __init__(self, settings: HttpServerSettings, handler: Handler) -> None:
+    def __init__(
+        self,
+        settings: HttpServerSettings,
+        handler: Handler,
+        refusal_format: RefusalFormat = plain_refusal,
+    ) -> None:
         self._settings = settings
         self._handler = handler
+        self._refusal_format = refusal_format
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
         self._draining = False
@@ -78,6 +96,11 @@
         """Coroutine function from request to response."""
         return self._handler
 
+    @property
+    def refusal_format(self) -> RefusalFormat:
+        """Form of the answer to a request that could not be read."""
+        return self._refusal_format
+
     @property
     def draining(self) -> bool:
         """Whether answers close their connection."""
@@ -151,7 +174,7 @@
         self._transport = transport
         self._server.add(self)
         if self._server.full:
-            self._refuse(503, b"too many connections")
+            self._refuse(503, "too many connections")
             return
         self._wait(self._server.settings.idle_seconds)
 
@@ -206,14 +229,14 @@
         if self._head is None and self._h11.trailing_data[0] == b"":
             self._transport.close()
         else:
-            self._refuse(408, b"request did not arrive in time")
+            self._refuse(408, "request did not arrive in time")
 
     def _read(self) -> None:
         while True:
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                self._refuse(error.error_status_hint, str(error).encode())
+                self._refuse_fault(error)
                 return
             if event is h11.NEED_DATA:
                 self._allow_body()
@@ -222,15 +245,25 @@
                 return
             if isinstance(event, h11.Request):
                 self._head = event
+                fault = _head_fault(event, self._server.settings.header_bytes)
+                if fault is not None:
+                    self._refuse(*fault)
+                    return
             elif isinstance(event, h11.Data):
                 self._body += event.data
                 if len(self._body) > self._server.settings.body_bytes:
-                    self._refuse(413, b"request body is too large")
+                    self._refuse(413, "request body is too large")
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._begin()
                 return
 
+    def _refuse_fault(self, error: h11.RemoteProtocolError) -> None:
+        status, detail = error.error_status_hint, str(error)
+        if status == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+            detail = _too_large(self._server.settings.header_bytes)
+        self._refuse(status, detail)
+
     def _allow_body(self) -> None:
         if self._h11.they_are_waiting_for_100_continue:
             go_ahead = h11.InformationalResponse(status_code=100, headers=[])
@@ -252,8 +285,10 @@
         try:
             response = await self._server.handler(request)
             await self._send(response, request.method)
-        except asyncio.CancelledError:
-            raise
+        except BrokenAnswerError:
+            # Half of the answer is out: only a broken connection tells so.
+            self._transport.abort()
+            return
         except Exception:
             self._transport.abort()
             raise
@@ -279,8 +314,7 @@
             headers.append((b"content-length", b"%d" % len(response.body)))
         if self._server.draining:
             headers.append((b"connection", b"close"))
-        head = h11.Response(status_code=response.status, headers=headers)
-        data = self._h11.send(head)
+        data = self._h11.send(_response_head(response.status, tuple(headers)))
         if not bodiless:
             data += self._h11.send(h11.Data(data=response.body))
         if response.tail is not None:
@@ -295,18 +329,42 @@
             self._transport.write(self._h11.send(h11.Data(data=chunk)))
             await self._writable.wait()
 
-    def _refuse(self, status: int, message: bytes) -> None:
+    def _refuse(self, status: int, detail: str) -> None:
         """Answer a request that could not be read, then close."""
         self._stop_timer()
         if self._h11.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            response = self._server.refusal_format(status, detail)
             headers: Headers = (
-                (b"content-type", b"text/plain"),
-                (b"content-length", b"%d" % len(message)),
+                *response.headers,
+                (b"content-length", b"%d" % len(response.body)),
                 (b"connection", b"close"),
-                (b"damaskramp-outcome", b"not-run"),
             )
-            data = self._h11.send(h11.Response(status_code=status, headers=headers))
-            data += self._h11.send(h11.Data(data=message))
+            data = self._h11.send(_response_head(status, headers))
+            data += self._h11.send(h11.Data(data=response.body))
             data += self._h11.send(h11.EndOfMessage())
             self._transport.write(data)
         self._transport.close()
+
+
+def _head_fault(head: h11.Request, most_bytes: int) -> tuple[int, str] | None:
+    """Status and detail for a head that must not be passed on."""
+    names = {name for name, _ in head.headers}
+    if b"content-length" in names and b"transfer-encoding" in names:
+        # Two readers may find different ends (RFC 9112, section 6.1).
+        return 400, "both content-length and transfer-encoding"
+    size = sum(len(name) + len(value) for name, value in head.headers)
+    if size + len(head.target) > most_bytes:
+        return 431, _too_large(most_bytes)
+    return None
+
+
+def _too_large(most_bytes: int) -> str:
+    return f"request head is larger than {most_bytes} bytes"
+
+
+def _response_head(status: int, headers: Headers) -> h11.Response:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = ""
+    return h11.Response(status_code=status, headers=list(headers), reason=phrase)
--- a/damaskramp/node/admin.py
+++ b/damaskramp/node/admin.py
@@ -15,7 +15,7 @@
 
 
 class Admin:
-    """Handler of ``/metrics``, ``/status`` and ``/healthz``.
+    """Handler of ``/metrics``, ``/status``, ``/slo`` and ``/healthz``.
 
     Parameters
     ----------
@@ -23,11 +23,19 @@
         Metrics.
     status : callable
         Function that gives the status document.
+    objectives : callable
+        Function that gives the service-level indicators.
     """
 
-    def __init__(self, telemetry: Telemetry, status: Callable[[], dict]) -> None:
+    def __init__(
+        self,
+        telemetry: Telemetry,
+        status: Callable[[], dict],
+        objectives: Callable[[], dict],
+    ) -> None:
         self._telemetry = telemetry
         self._status = status
+        self._objectives = objectives
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -38,10 +46,12 @@
             return self._metrics(request)
         if path == "/status":
             return HttpResponse(200, JSON, orjson.dumps(self._status()))
+        if path == "/slo":
+            return HttpResponse(200, JSON, orjson.dumps(self._objectives()))
         if path == "/healthz":
             serving = self._status()["state"] == "serving"
             return HttpResponse(200 if serving else 503, TEXT, b"")
-        return HttpResponse(404, TEXT, b"try /metrics, /status or /healthz\n")
+        return HttpResponse(404, TEXT, b"try /metrics, /status, /slo or /healthz\n")
 
     def _metrics(self, request: HttpRequest) -> HttpResponse:
         accepts = [value.decode("latin-1") for value in request.values(b"accept")]
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -28,8 +28,10 @@
 from damaskramp.node.execution import Executor
 from damaskramp.node.host_watch import HostWatch
 from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
+from damaskramp.node.responses import refuse_unreadable
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 from damaskramp.quota import StaticSplit
@@ -92,6 +94,7 @@
         classes: tuple[str, ...] = ()
         self._classes = board.create("classes", classes)
         self._telemetry = Telemetry(self._classes)
+        self._objectives = ObjectiveKeeper(self._timers, self._bundle)
 
     def _build_clients(self) -> None:
         settings = self._settings
@@ -133,6 +136,7 @@
             self._limiter,
             self._dispatcher,
             self._telemetry,
+            self._objectives,
         )
 
     def _build_servers(self) -> None:
@@ -144,8 +148,8 @@
             limits.header_seconds,
             limits.idle_seconds,
         )
-        self._http = HttpServer(bounds, self._entry.handle)
-        admin = Admin(self._telemetry, self.status)
+        self._http = HttpServer(bounds, self._entry.handle, refuse_unreadable)
+        admin = Admin(self._telemetry, self.status, self._objectives.document)
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -27,6 +27,7 @@
     end_to_end,
     strip_private,
 )
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.responses import to_http
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.quota import RateLimiter
@@ -66,6 +67,8 @@
         Way to the backend servers.
     telemetry : Telemetry
         Counters.
+    objectives : ObjectiveKeeper
+        Service-level indicators.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         limiter: RateLimiter,
         dispatcher: Dispatcher,
         telemetry: Telemetry,
+        objectives: ObjectiveKeeper,
     ) -> None:
         self._settings = settings
         self._timers = timers
@@ -85,6 +89,7 @@
         self._limiter = limiter
         self._dispatcher = dispatcher
         self._telemetry = telemetry
+        self._objectives = objectives
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -95,7 +100,9 @@
             return to_http(prepared.error)
         arrival, call = prepared.ok
         reply = await self._run(arrival, call)
-        self._telemetry.answered(call.context, reply, self._timers.now - started)
+        seconds = self._timers.now - started
+        self._telemetry.answered(call.context, reply, seconds)
+        self._objectives.observe(call.context, reply, seconds)
         return to_http(reply, call.context.request_id)
 
     def _arrive(self, request: HttpRequest, started: float) -> Result[_Arrival, Reply]:
--- a/damaskramp/node/peer_server.py
+++ b/damaskramp/node/peer_server.py
@@ -1,8 +1,11 @@
 """Server side of the calls between nodes."""
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from damaskramp.core import TimerService
+from damaskramp.http import BrokenAnswerError
 from damaskramp.node.codec import decode_call, encode_head
 from damaskramp.node.execution import Executor
 from damaskramp.wire import peer_pb2
@@ -52,6 +55,10 @@
         call = decode_call(message, self._timers.now)
         reply = await self._executor.execute(call)
         await stream.send_message(encode_head(reply))
-        if reply.tail is not None:
+        if reply.tail is None:
+            return
+        try:
             async for chunk in reply.tail:
                 await stream.send_message(peer_pb2.ExecuteReply(chunk=chunk))
+        except BrokenAnswerError as error:
+            raise GRPCError(Status.DATA_LOSS, str(error)) from error
--- a/damaskramp/node/peers.py
+++ b/damaskramp/node/peers.py
@@ -8,6 +8,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from damaskramp.core import Reason, TimerService
+from damaskramp.http import BrokenAnswerError
 from damaskramp.membership import Member
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.codec import decode_head, encode_call
@@ -115,6 +116,9 @@
 
 
 async def _tail(held: AsyncExitStack, stream: Stream) -> AsyncIterator[bytes]:
-    async with held:
-        async for message in stream:
-            yield message.chunk
+    try:
+        async with held:
+            async for message in stream:
+                yield message.chunk
+    except (*FAILURES, TimeoutError) as error:
+        raise BrokenAnswerError(str(error)) from error
--- a/damaskramp/node/responses.py
+++ b/damaskramp/node/responses.py
@@ -1,6 +1,7 @@
 """HTTP form of what callers are told."""
 
 import math
+from http import HTTPStatus
 
 import orjson
 
@@ -16,7 +17,9 @@
     strip_private,
 )
 
-__all__ = ["STATUS_BY_REASON", "to_http"]
+__all__ = ["STATUS_BY_REASON", "refuse_unreadable", "to_http"]
+
+TOO_LARGE_STATUSES = frozenset({413, 431})
 
 STATUS_BY_REASON = {
     Reason.NONE: 502,
@@ -67,6 +70,14 @@
     return HttpResponse(STATUS_BY_REASON[reply.reason], tuple(own), _body(reply))
 
 
+def refuse_unreadable(status: int, detail: str) -> HttpResponse:
+    """Response for a request that could not be read, with the server's status."""
+    reason = Reason.TOO_LARGE if status in TOO_LARGE_STATUSES else Reason.BAD_REQUEST
+    reason = Reason.OVERLOADED if status == HTTPStatus.SERVICE_UNAVAILABLE else reason
+    response = to_http(Reply.not_run(reason, detail=detail))
+    return HttpResponse(status, response.headers, response.body)
+
+
 def _body(reply: Reply) -> bytes:
     document = {"outcome": reply.outcome.value, "code": reply.reason.value}
     if reply.detail:
--- /dev/null
+++ b/damaskramp/slo/__init__.py
@@ -0,0 +1,15 @@
+"""Service-level indicators kept by nodes, and the burn of error budgets."""
+
+from damaskramp.slo.burn import BudgetBurn, compute_burn
+from damaskramp.slo.history import EventHistory, SeriesKey, WindowCount
+from damaskramp.slo.indicator import Judgement, judge
+
+__all__ = [
+    "BudgetBurn",
+    "EventHistory",
+    "Judgement",
+    "SeriesKey",
+    "WindowCount",
+    "compute_burn",
+    "judge",
+]
--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -41,6 +41,8 @@
         Calls that each of its requests makes.
     settings : str
         More TOML for the node's settings.
+    external : bool
+        Whether somebody else runs the backend server.
     """
 
     host: str
@@ -49,6 +51,7 @@
     backend: dict[str, object] = field(default_factory=dict)
     calls: tuple[str, ...] = ()
     settings: str = ""
+    external: bool = False
 
 
 class Process:
@@ -205,7 +208,8 @@
         self.publish(self._bundle_source)
         self.publish_hosts()
         for host in self._hosts:
-            self.start_backend(host)
+            if not self._hosts[host].external:
+                self.start_backend(host)
             self.start_node(host)
         self.wait_until_serving()
 
