--- a/damaskramp/membership/protocol.py
+++ b/damaskramp/membership/protocol.py
@@ -35,6 +35,9 @@
 DEAD_PROBE_PERIODS = 8
 """Periods between two probes of a member taken for dead, which heal a cut."""
 
+RESTING_ZONES = 2
+"""Other zones up to which a contact speaks in every second period only."""
+
 PAUSE_PERIODS = 3
 """Periods without a step after which failures are this node's own."""
 
@@ -265,10 +268,15 @@
         zones = self._spoken_zones
         if not zones:
             return ()
-        zone = zones[self._periods % len(zones)]
+        turn = self._periods
+        if len(zones) <= RESTING_ZONES:
+            turn, resting = divmod(self._periods, 2)
+            if resting:
+                return ()
+        zone = zones[turn % len(zones)]
         others = [r for r in self._roster.others(zone) if _answers(r)]
         dead = self._roster.others(zone, dead=True)
-        if dead and (not others or self._periods % DEAD_PROBE_PERIODS == 0):
+        if dead and (not others or turn % DEAD_PROBE_PERIODS == 0):
             others = dead
         return (self._any(others),) if others else ()
 
--- a/damaskramp/membership/settings.py
+++ b/damaskramp/membership/settings.py
@@ -37,6 +37,6 @@
     piggyback_bytes: int = 400
     sync_bytes: int = 8192
     sync_periods: int = 4
-    contacts: int = 3
+    contacts: int = 2
     tombstone_seconds: float = 600.0
     items: int = 4096
