--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -170,9 +170,11 @@
     source = bundle().replace("rate = 1000.0", "rate = 1e6")
     source = source.replace("burst = 1000", "burst = 1000000")
     source = source.replace("slots = 8", "slots = 256")
-    with tempfile.TemporaryDirectory() as directory:
-        with Fleet(Path(directory), hosts, source) as fleet:
-            asyncio.run(measure(fleet))
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        Fleet(Path(directory), hosts, source) as fleet,
+    ):
+        asyncio.run(measure(fleet))
 
 
 if __name__ == "__main__":
--- a/damaskramp/cli/bundle.py
+++ b/damaskramp/cli/bundle.py
@@ -189,3 +189,7 @@
     "keygen": (0, _keygen),
     "key-digest": (0, _key_digest),
 }
+
+
+if __name__ == "__main__":
+    main()
--- a/damaskramp/cli/burn.py
+++ b/damaskramp/cli/burn.py
@@ -83,3 +83,7 @@
         if answer.document["version"] >= newest["version"]:
             newest = answer.document
     return list(GOALS.validate_python(newest["goals"])), windows
+
+
+if __name__ == "__main__":
+    main()
--- a/damaskramp/cli/node.py
+++ b/damaskramp/cli/node.py
@@ -65,3 +65,7 @@
         loop.add_signal_handler(number, stop.set)
     await stop.wait()
     return ExitCode.OK if await node.stop() else ExitCode.FAILED
+
+
+if __name__ == "__main__":
+    main()
--- a/damaskramp/cli/status.py
+++ b/damaskramp/cli/status.py
@@ -109,3 +109,7 @@
     states = Counter(member["state"] for member in members)
     others = [f"{count} {state}" for state, count in states.items() if state != "live"]
     return ", ".join([f"{states['live']} live", *others])
+
+
+if __name__ == "__main__":
+    main()
