Deaths reach nodes that start late; histories of a fleet searched

Cause: the search over random histories found a restarted node of another zone that held a listed dead host for live for ever: the dead weren't part of the digest, so nothing was synced. Ruled out: all dead in the digest, as each node forgets them in its own time and syncs would keep them alive for ever. Change: the dead count in the digest while they are listed; the death of an unknown host is no news. test_convergence.py, with a planted fault that the search finds. Conclusion: all running nodes agree once faults end.

--- a/damaskramp/membership/records.py
+++ b/damaskramp/membership/records.py
@@ -76,9 +76,15 @@
 
     @property
     def version(self) -> str | None:
-        """Text that differs between any two states worth syncing."""
+        """Text that differs between any two states worth syncing.
+
+        The dead count while they are listed, for whoever reads the list only now.
+        Others don't: each node forgets them in its own time.
+        """
         update = self.update
-        if self.is_dead or not update.incarnation:
+        if self.is_dead and not self.listed:
+            return None
+        if update.state == STATE_LIVE and not update.incarnation:
             return None
         return f"{update.incarnation}/{update.refutation}/{update.state}"
 
--- a/damaskramp/membership/roster.py
+++ b/damaskramp/membership/roster.py
@@ -121,7 +121,7 @@
         return [
             record.update
             for host, record in self._records.items()
-            if record.update.incarnation and bucket_of(host) in buckets
+            if (record.version or record.is_dead) and bucket_of(host) in buckets
         ]
 
     def receive_list(self, listed: Iterable[ListedMember]) -> None:
@@ -146,7 +146,8 @@
         """Take news of a member, told by another zone where `far`.
 
         Another zone's word that a member of this zone is dead makes it a suspect
-        only: after a cut it refutes before its neighbours let go of it.
+        only: after a cut it refutes before its neighbours let go of it. The death
+        of an unknown host is no news, or the dead would never be forgotten.
         """
         if far and update.zone == self._own.zone and update.state == STATE_DEAD:
             update = _in_state(update, STATE_SUSPECT)
@@ -154,6 +155,8 @@
             self._refute(update)
             return False
         record = self._records.get(update.host)
+        if record is None and update.state == STATE_DEAD:
+            return False
         if record is not None and not is_newer(update, record.update):
             return False
         self._put(update)
@@ -282,6 +285,7 @@
         record = self._records[host]
         if record.listed != state:
             record.listed = state
+            self._digests.set(host, record.version)
             self._changed = True
 
     def _remove(self, host: str) -> None:
