Zones are compared apart; routine news is sent less

Cause: a search over 400 histories found a zone that agreed inside and never synced with another that it differed from: each equal digest inside reset the count. A fleet that starts at once sent each incarnation 3 log2(n) times from each node, for minutes.

--- a/damaskramp/membership/dissemination.py
+++ b/damaskramp/membership/dissemination.py
@@ -9,18 +9,22 @@
 T = TypeVar("T")
 
 RETRANSMISSION_FACTOR = 3
+ROUTINE_FACTOR = 1
 ENTRY_OVERHEAD_BYTES = 3
 
 
-def retransmissions(members: int) -> int:
+def retransmissions(members: int, routine: bool = False) -> int:
     """Times that one node sends one piece of news, for so many members.
 
+    Routine news may be left to a later sync where it misses somebody.
+
     Examples
     --------
-    >>> retransmissions(3), retransmissions(175)
-    (6, 23)
+    >>> retransmissions(3), retransmissions(175), retransmissions(175, routine=True)
+    (6, 23, 8)
     """
-    return math.ceil(RETRANSMISSION_FACTOR * math.log2(members + 1))
+    factor = ROUTINE_FACTOR if routine else RETRANSMISSION_FACTOR
+    return math.ceil(factor * math.log2(members + 1))
 
 
 @dataclass(slots=True)
--- a/damaskramp/membership/protocol.py
+++ b/damaskramp/membership/protocol.py
@@ -64,6 +64,14 @@
     sync: Update | None
 
 
+@dataclass(slots=True)
+class _Difference:
+    """Messages in a row from a zone whose digest differed, and the last sender."""
+
+    messages: int = 0
+    host: str = ""
+
+
 class GossipProtocol:
     """State machine of membership and broadcast of one node.
 
@@ -98,8 +106,7 @@
         self._spoken_revision = -1
         self._begun = timers.now
         self._trusts_after = timers.now
-        self._differs_from: str | None = None
-        self._differing = 0
+        self._differing: dict[str, _Difference] = {}
         self._synced_period = -settings.sync_periods
 
     @property
@@ -154,11 +161,13 @@
         """Take the answer to a probe."""
         self._roster.answered(message.sender.host)
         self._receive(message.sender, message.updates, message.items)
+        zone = message.sender.zone
         if message.digest == self._digest():
-            self._differing = 0
+            self._differing.pop(zone, None)
             return
-        self._differing += 1
-        self._differs_from = message.sender.host
+        difference = self._differing.setdefault(zone, _Difference())
+        difference.messages += 1
+        difference.host = message.sender.host
 
     def helpers(self, host: str) -> list[Update]:
         """Members to ask to probe a host in this node's place."""
@@ -289,12 +298,19 @@
         return higher < self._settings.contacts
 
     def _next_sync(self) -> Update | None:
-        """Member whose digest differs, once news had the time to reach both."""
-        due = self._periods - self._synced_period >= self._settings.sync_periods
-        if not due or self._differing < self._settings.sync_periods:
+        """Member whose digest differs, once news had the time to reach both.
+
+        Zones count apart: within a zone all may agree, and differ from another.
+        """
+        if self._periods - self._synced_period < self._settings.sync_periods:
             return None
-        record = self._roster.get(self._differs_from)
-        return None if record is None or record.is_dead else record.update
+        for difference in self._differing.values():
+            record = self._roster.get(difference.host)
+            lasting = difference.messages >= self._settings.sync_periods
+            if lasting and record is not None and not record.is_dead:
+                difference.messages = 0
+                return record.update
+        return None
 
     def _any(self, records: list[MemberRecord]) -> Update:
         return records[int(self._random.integers(len(records)))].update
--- a/damaskramp/membership/roster.py
+++ b/damaskramp/membership/roster.py
@@ -277,7 +277,8 @@
     def _spread(self, update: Update) -> None:
         size = update.ByteSize()
         members = len(self._zones[self._own.zone])
-        self._near.put(update.host, update, size, retransmissions(members))
+        routine = update.state == STATE_LIVE and not update.refutation
+        self._near.put(update.host, update, size, retransmissions(members, routine))
         if update.zone == self._own.zone and update.state != STATE_SUSPECT:
             self._far.put(update.host, update, size, FAR_TIMES)
 
