Bundles handed from node to node: tree of watches, parcels, rollout

Cause: every node watched the platform, 1,400 watches where at most three a zone are wanted, and a zone cut from the platform learnt nothing.

Ruled out: spreading whole bundles by gossip (items are a few hundred bytes); one fetch from the origin by every node (1,400 fetches from one host).

Change: the held bundle and the one in force are told apart, so zones may be rolled one after the other while withdrawals hold at once; three readers a zone by rendezvous, every other member watches its parent in a tree of fan-out four; only sections that the asker lacks move.

--- a/damaskramp/bundle/__init__.py
+++ b/damaskramp/bundle/__init__.py
@@ -41,4 +41,5 @@
     "parse_bundle_source",
     "sign_bundle",
     "verify_bundle",
+    "verify_signed",
 ]
--- a/damaskramp/bundle/diff.py
+++ b/damaskramp/bundle/diff.py
@@ -94,7 +94,8 @@
             changes.append(Change(f"team {team}", f"key {digest[:12]}… withdrawn"))
     for digest in old.withdrawn_keys:
         if digest not in new.withdrawn_keys:
-            text = f"key {digest[:12]}… is no longer listed; it stays withdrawn"
+            text = f"key {digest[:12]}… is no longer listed: nodes that start later "
+            text += "accept it where a team lists it"
             changes.append(Change("withdrawn keys", text))
     return sorted(changes, key=str)
 
--- a/damaskramp/bundle/signed.py
+++ b/damaskramp/bundle/signed.py
@@ -26,7 +26,13 @@
 from damaskramp.bundle.model import Bundle
 from damaskramp.core import BundleVersion, Findings, Place
 
-__all__ = ["SignedBundle", "SigningKey", "sign_bundle", "verify_bundle"]
+__all__ = [
+    "SignedBundle",
+    "SigningKey",
+    "sign_bundle",
+    "verify_bundle",
+    "verify_signed",
+]
 
 FORMAT = 1
 SIGNATURE_CONTEXT = b"damaskramp-bundle-1\0"
@@ -178,14 +184,24 @@
     """
     findings = Findings()
     signed = _parse(data, source, findings)
-    if signed is not None:
-        _check_signature(signed, public_keys, source, findings)
-        _check_sections(signed, source, findings)
-    if signed is not None and not findings.has_errors:
-        _check_contents(signed, source, now, findings)
-    if signed is None or findings.has_errors:
+    if signed is None:
         return Error(findings)
-    return Ok(signed)
+    return verify_signed(signed, public_keys, source, now)
+
+
+def verify_signed(
+    signed: SignedBundle,
+    public_keys: tuple[str, ...],
+    source: str,
+    now: datetime | None = None,
+) -> Result[SignedBundle, Findings]:
+    """Verify a bundle that is parsed already; parameters as of `verify_bundle`."""
+    findings = Findings()
+    _check_signature(signed, public_keys, source, findings)
+    _check_sections(signed, source, findings)
+    if not findings.has_errors:
+        _check_contents(signed, source, now, findings)
+    return Error(findings) if findings.has_errors else Ok(signed)
 
 
 def _digest(text: bytes) -> str:
--- /dev/null
+++ b/damaskramp/distribution/tests/test_distribution.py
@@ -0,0 +1,72 @@
+"""Place in the tree, and parcels without the sections that are held."""
+
+import hypothesis.strategies as st
+import testtools
+from hypothesis import given, settings
+
+from damaskramp.bundle import verify_signed
+from damaskramp.bundle.tests.test_store import DIGESTS, KEY, signed
+from damaskramp.core import HostId, ServiceName, ZoneName
+from damaskramp.distribution import HeldSections, Parcel, WatchTree, unpack_parcel
+from damaskramp.distribution.tree import FAN_OUT, READERS
+from damaskramp.membership import Member
+
+
+def members(count: int) -> list[Member]:
+    service, zone = ServiceName("s"), ZoneName("z1")
+    return [Member(HostId(f"h{n}"), zone, "127.0.0.1:1", service) for n in range(count)]
+
+
+class TestWatchTree(testtools.TestCase):
+    @settings(deadline=None, derandomize=True, max_examples=30)
+    @given(st.integers(1, 200))
+    def test_everyone_hangs_below_a_reader(self, count):
+        zone = members(count)
+        trees = {member.host: WatchTree(member.host, zone) for member in zone}
+        readers = [host for host, tree in trees.items() if tree.is_reader]
+        self.assertEqual(min(count, READERS), len(readers))
+        for host, tree in trees.items():
+            depth = 0
+            while not tree.is_reader:
+                self.assertNotEqual(host, tree.parent.host)
+                tree = trees[tree.parent.host]
+                depth += 1
+            self.assertTrue(depth <= 4, f"{host} is {depth} below a reader")
+
+    def test_no_member_has_more_than_its_fan_out(self):
+        zone = members(175)
+        parents = [WatchTree(member.host, zone).parent for member in zone]
+        for member in zone:
+            self.assertTrue(parents.count(member) <= FAN_OUT)
+
+    def test_node_that_knows_nobody_reads_the_platform(self):
+        self.assertTrue(WatchTree(HostId("h1"), []).is_reader)
+        self.assertTrue(WatchTree(HostId("stranger"), members(5)).is_reader)
+
+
+class TestParcel(testtools.TestCase):
+    def test_only_changed_sections_move(self):
+        old, new = signed(1), signed(2, withdrawn=DIGESTS[:1])
+        parcel = Parcel.pack(new, HeldSections.of(old))
+        self.assertEqual({"bundle", "withdrawn_keys"}, set(parcel.sections))
+        whole = unpack_parcel(parcel, old)
+        verified = verify_signed(whole, (KEY.public_hex,), "peer")
+        self.assertEqual(new.digest, verified.ok.digest)
+        self.assertEqual(new.bundle, verified.ok.bundle)
+
+    def test_nothing_moves_to_who_holds_as_much(self):
+        for held in (signed(2), signed(3)):
+            self.assertIsNone(Parcel.pack(signed(2), HeldSections.of(held)))
+
+    def test_forged_section_is_refused(self):
+        parcel = Parcel.pack(signed(2), HeldSections.of(None))
+        forged = {**parcel.sections, "teams": b'[{"name":"x"}]'}
+        bad = Parcel(parcel.manifest, parcel.signature, parcel.public_key, forged)
+        verified = verify_signed(unpack_parcel(bad, None), (KEY.public_hex,), "peer")
+        self.assertIn("sections.teams: error", str(verified.error))
+
+    def test_missing_section_is_refused(self):
+        parcel = Parcel.pack(signed(2), HeldSections.of(signed(1)))
+        whole = unpack_parcel(parcel, None)
+        verified = verify_signed(whole, (KEY.public_hex,), "peer")
+        self.assertIn("sections.teams: error: missing", str(verified.error))
--- /dev/null
+++ b/damaskramp/node/bundle_exchange.py
@@ -0,0 +1,142 @@
+"""Handing bundles from node to node by gRPC."""
+
+import asyncio
+
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Stream
+
+from damaskramp.bundle import SignedBundle
+from damaskramp.core import BundleVersion
+from damaskramp.distribution import HeldSections, Parcel, unpack_parcel
+from damaskramp.node.peers import PeerPool
+from damaskramp.wire.distribution_grpc import DistributionBase, DistributionStub
+from damaskramp.wire.distribution_pb2 import FetchReply, FetchRequest, Section
+
+__all__ = ["BundleClient", "BundleService", "HeldBundle"]
+
+FAILURES = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    ValueError,
+    KeyError,
+)
+ANSWER_SECONDS = 1.0
+LONGEST_WAIT_SECONDS = 30.0
+
+
+class HeldBundle:
+    """The greatest bundle of this node, and waiting for a greater one."""
+
+    def __init__(self) -> None:
+        self._signed: SignedBundle | None = None
+        self._changed = asyncio.Event()
+
+    @property
+    def signed(self) -> SignedBundle | None:
+        """Greatest bundle."""
+        return self._signed
+
+    def replace(self, signed: SignedBundle) -> None:
+        """Hold a greater bundle and wake who waits for it."""
+        self._signed = signed
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def parcel(self, held: HeldSections, seconds: float) -> Parcel | None:
+        """Parcel for an asker, waiting for a greater bundle."""
+        try:
+            async with asyncio.timeout(seconds):
+                while True:
+                    changed = self._changed
+                    if self._signed is not None:
+                        parcel = Parcel.pack(self._signed, held)
+                        if parcel is not None:
+                            return parcel
+                    await changed.wait()
+        except TimeoutError:
+            return None
+
+
+class BundleService(DistributionBase):
+    """Server side.
+
+    Parameters
+    ----------
+    held : HeldBundle
+        Bundle to hand on.
+    """
+
+    def __init__(self, held: HeldBundle) -> None:
+        self._held = held
+
+    async def Fetch(self, stream: Stream) -> None:
+        """Answer with a greater bundle, or empty when the time is over."""
+        request = await stream.recv_message()
+        held = HeldSections(
+            BundleVersion(request.version),
+            request.digest.hex(),
+            frozenset(digest.hex() for digest in request.sections),
+        )
+        seconds = min(request.wait_ms / 1000, LONGEST_WAIT_SECONDS)
+        parcel = await self._held.parcel(held, seconds)
+        await stream.send_message(_reply(parcel))
+
+
+class BundleClient:
+    """Client side.
+
+    Parameters
+    ----------
+    pool : PeerPool
+        Channels.
+    """
+
+    def __init__(self, pool: PeerPool) -> None:
+        self._pool = pool
+
+    async def fetch(
+        self, peer: str, held: SignedBundle | None, wait: float
+    ) -> SignedBundle | None:
+        """Ask a node for a greater bundle.
+
+        Raises
+        ------
+        ConnectionError
+            If the node can't be reached or its answer can't be read.
+        """
+        known = HeldSections.of(held)
+        request = FetchRequest(
+            version=known.version,
+            digest=bytes.fromhex(known.digest),
+            sections=[bytes.fromhex(digest) for digest in sorted(known.sections)],
+            wait_ms=int(wait * 1000),
+        )
+        stub = DistributionStub(self._pool.channel(peer))
+        try:
+            reply = await stub.Fetch(request, timeout=wait + ANSWER_SECONDS)
+            return _signed(reply, held)
+        except (*FAILURES, TimeoutError) as error:
+            raise ConnectionError(str(error)) from error
+
+
+def _reply(parcel: Parcel | None) -> FetchReply:
+    if parcel is None:
+        return FetchReply()
+    return FetchReply(
+        manifest=parcel.manifest,
+        signature=parcel.signature,
+        public_key=parcel.public_key,
+        sections=[
+            Section(name=name, text=text) for name, text in parcel.sections.items()
+        ],
+    )
+
+
+def _signed(reply: FetchReply, held: SignedBundle | None) -> SignedBundle | None:
+    if not reply.manifest:
+        return None
+    sections = {section.name: section.text for section in reply.sections}
+    parcel = Parcel(reply.manifest, reply.signature, reply.public_key, sections)
+    return unpack_parcel(parcel, held)
