Wire the tree of watches into the node

Change: BundleController takes the place of BundleWatch: start from platform and peers, watch the platform or the parent, gossip behind both.

--- a/damaskramp/bundle/__init__.py
+++ b/damaskramp/bundle/__init__.py
@@ -16,6 +16,7 @@
     SigningKey,
     sign_bundle,
     verify_bundle,
+    verify_signed,
 )
 from damaskramp.bundle.source import load_bundle_source, parse_bundle_source
 from damaskramp.bundle.store import Adoption, BundleStore
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -27,7 +27,8 @@
     MemberTable,
 )
 from damaskramp.node.admin import Admin
-from damaskramp.node.bundle_watch import BundleWatch
+from damaskramp.node.bundle_controller import BundleController
+from damaskramp.node.bundle_exchange import BundleClient, BundleService, HeldBundle
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.drain import GracefulDrain
@@ -72,10 +73,12 @@
         self._settings = settings
         self._timers = timers or LoopTimers()
         self._incarnation = Incarnation(int(self._timers.wall_now * MICROSECONDS))
+        self._seed = [*settings.node.host.encode(), self._incarnation]
         self._tasks: list[asyncio.Task] = []
         self._build_sections()
         self._build_clients()
         self._build_gossip()
+        self._build_bundle_controller()
         self._build_call_path()
         self._build_servers()
         self._bundle.subscribe(self._follow_bundle)
@@ -124,8 +127,7 @@
             Owner(own.host, own.incarnation, own.peer),
         )
         gossip = MembershipSettings(period_seconds=times.period_seconds)
-        seed = [*own.host.encode(), own.incarnation]
-        random = np.random.default_rng(seed)
+        random = np.random.default_rng(self._seed)
         protocol = GossipProtocol(gossip, self._timers, own, random)
         self._broadcast = protocol.broadcast
         self._gossip = GossipController(
@@ -189,7 +191,9 @@
         )
         gossip = GossipService(self._gossip, self._ownership)
         self._peer_service = PeerService(self._timers, self._executor)
-        self._peer = GrpcServer([self._peer_service, gossip])
+        self._peer = GrpcServer(
+            [self._peer_service, gossip, BundleService(self._held_bundle)]
+        )
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -203,7 +207,7 @@
         await self._admin.start(*_split(listen.admin))
         await self._peer.start(*_split(listen.peer))
         await self._http.start(*_split(listen.http))
-        self._spawn(self._watch_bundle().run())
+        self._spawn(self._bundle_controller.run())
         self._spawn(self._watch_hosts().run())
         self._spawn(self._gossip.run())
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
@@ -252,11 +256,20 @@
             },
         }
 
-    def _watch_bundle(self) -> BundleWatch:
+    def _build_bundle_controller(self) -> None:
         name = self._settings.platform.bundle_name
-        source = HttpConfigurationSource(self._platform, name)
-        return BundleWatch(
-            self._settings, self._timers, self._bundle, source, self._telemetry
+        self._held_bundle = HeldBundle()
+        self._bundle_controller = BundleController(
+            self._settings,
+            self._timers,
+            self._bundle,
+            self._members,
+            HttpConfigurationSource(self._platform, name),
+            BundleClient(self._pool),
+            self._held_bundle,
+            self._broadcast,
+            self._telemetry,
+            np.random.default_rng(self._seed),
         )
 
     def _watch_hosts(self) -> HostWatch:
