--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -8,6 +8,7 @@
 import asyncio
 import sys
 import time
+import tracemalloc
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -162,8 +163,9 @@
         print(f"{zones} zones of 8: {wire[-1]:.1f} B/s sent a node")
     net = settled(LARGE_ZONE, ZONES)
     sent, messages, seconds = cost(net)
+    wire_bytes = sent + messages * overhead / 2
     print(
-        f"{ZONES} zones of {LARGE_ZONE}: {sent + messages * overhead / 2:.1f} B/s sent a node, "
+        f"{ZONES} zones of {LARGE_ZONE}: {wire_bytes:.1f} B/s sent a node, "
         f"{seconds * 1e6:.1f} us/s"
     )
 
@@ -221,6 +223,22 @@
         print(f"activation, {name}: {size:.0f} B a member asked")
 
 
+def print_memory() -> None:
+    """Memory of one node's records at the target size, news for all included."""
+    net = Network(ZONES, 1)
+    roster = net.stations["z0-n0"].protocol.roster
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(TARGET_SIZE * ZONES):
+        zone = f"z{number % ZONES}"
+        update = Update(host=f"host-{number}", zone=zone, peer=f"10.0.0.1:{number}")
+        update.incarnation = 1
+        roster.receive(update)
+    roster.take_table()
+    spent = tracemalloc.get_traced_memory()[0] - before
+    print(f"records of {TARGET_SIZE * ZONES} members: {spent / 1024:.0f} KiB")
+
+
 def processor_seconds(fleet: Fleet, host: str) -> float:
     """Processor time of a node's process."""
     text = Path(f"/proc/{fleet.node(host).pid}/stat").read_text()
@@ -260,6 +278,7 @@
     print_zones(overhead)
     print_restarts(overhead)
     print_activation(overhead)
+    print_memory()
     print_detection()
 
 
--- a/damaskramp/membership/roster.py
+++ b/damaskramp/membership/roster.py
@@ -63,6 +63,8 @@
         )
         self._records: dict[str, MemberRecord] = {}
         self._zones: dict[str, dict[str, MemberRecord]] = {}
+        self._doubted: set[str] = set()
+        self._unlisted: set[str] = set()
         self._digests = BucketDigests()
         self._near: Dissemination[Update] = Dissemination()
         self._far: Dissemination[Update] = Dissemination()
@@ -175,12 +177,7 @@
 
     def unlisted(self) -> list[MemberRecord]:
         """Members of other zones that the host list doesn't show."""
-        return [
-            record
-            for zone in self.zones()
-            for record in self.others(zone)
-            if not record.listed
-        ]
+        return [self._records[host] for host in sorted(self._unlisted)]
 
     def miss(self, host: str) -> bool:
         """Count an unanswered probe of an unlisted member; whether it died of it."""
@@ -203,7 +200,8 @@
         """Take suspects for dead and forget old dead ones; how many died."""
         now = self._timers.now
         died = 0
-        for host, record in list(self._records.items()):
+        for host in sorted(self._doubted):
+            record = self._records[host]
             if record.dies_at is not None and now >= record.dies_at:
                 self._put(_in_state(record.update, STATE_DEAD))
                 died += 1
@@ -256,7 +254,7 @@
         record.update = update
         record.changed_at = now
         record.dies_at = self._death(update)
-        self._digests.set(host, record.version)
+        self._index(host, record)
         self._changed = True
         self._revision += 1
         if update.incarnation or update.state != STATE_LIVE:
@@ -286,9 +284,16 @@
         record = self._records[host]
         if record.listed != state:
             record.listed = state
-            self._digests.set(host, record.version)
+            self._index(host, record)
             self._changed = True
 
+    def _index(self, host: str, record: MemberRecord) -> None:
+        """Bring digests, doubted and unlisted members up to date with a record."""
+        self._digests.set(host, record.version)
+        far = record.update.zone != self._own.zone
+        _keep(self._doubted, host, record.is_suspect or record.is_dead)
+        _keep(self._unlisted, host, far and not (record.listed or record.is_dead))
+
     def _remove(self, host: str) -> None:
         record = self._records.pop(host)
         zone = self._zones[record.update.zone]
@@ -296,11 +301,20 @@
         if not zone:
             del self._zones[record.update.zone]
         self._digests.set(host, None)
+        self._doubted.discard(host)
+        self._unlisted.discard(host)
         self._near.drop(host)
         self._far.drop(host)
         self._changed = True
 
 
+def _keep(hosts: set[str], host: str, inside: bool) -> None:
+    if inside:
+        hosts.add(host)
+    else:
+        hosts.discard(host)
+
+
 def _in_state(update: Update, state: int) -> Update:
     copy = Update()
     copy.CopyFrom(update)
