Bundles proved between real processes; time to force measured

Cause: in force everywhere, never going back, and withdrawn keys were argued but not shown by processes that are killed, frozen and restarted.

--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -246,7 +246,7 @@
             "ownership_active": self._ownership.active,
             "periods": self._gossip.protocol.periods,
             "state": self._lifecycle.value.value,
-            "bundle": None if view is None else _bundle_status(view),
+            "bundle": None if view is None else self._bundle_status(view),
             "members": [_member_status(member) for member in self._members.value],
             "backend": {
                 "service": getattr(self._settings.backend, "service", None),
@@ -256,6 +256,14 @@
             },
         }
 
+    def _bundle_status(self, view: BundleView) -> dict:
+        return {
+            "version": view.version,
+            "digest": view.signed.digest,
+            "withdrawn_keys": len(view.withdrawn),
+            "in_force_at": self._bundle_controller.in_force_at,
+        }
+
     def _build_bundle_controller(self) -> None:
         name = self._settings.platform.bundle_name
         self._held_bundle = HeldBundle()
@@ -311,14 +319,6 @@
     )
 
 
-def _bundle_status(view: BundleView) -> dict:
-    return {
-        "version": view.version,
-        "digest": view.signed.digest,
-        "withdrawn_keys": len(view.withdrawn),
-    }
-
-
 def _member_status(member: object) -> dict:
     return {
         "host": member.host,
--- a/damaskramp/node/bundle_controller.py
+++ b/damaskramp/node/bundle_controller.py
@@ -106,8 +106,14 @@
         self._reachable: bool | None = None
         self._tasks: set[asyncio.Task] = set()
         self._failed_parent: HostId | None = None
+        self._in_force_at = 0.0
         broadcast.subscribe(Topic.BUNDLE, self._hear)
 
+    @property
+    def in_force_at(self) -> float:
+        """Wall-clock seconds at which the bundle took force here."""
+        return self._in_force_at
+
     async def run(self) -> None:
         """Start, then follow for ever."""
         while self._store.latest is None:
@@ -268,6 +274,7 @@
 
     def _publish(self, source: str) -> None:
         view = self._store.view
+        self._in_force_at = self._timers.wall_now
         self._section.replace(view)
         self._telemetry.value("bundle_version", view.version)
         LOGGER.info("bundle in force", extra={"version": view.version, "from": source})
--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -251,6 +251,14 @@
         command = str(Path(sys.executable).with_name("damaskramp-node"))
         self._start(f"node {host}", [command, f"--settings={path}"])
 
+    def freeze(self, host: str) -> None:
+        """Stop a node's process where it stands."""
+        self.node(host).send(signal.SIGSTOP)
+
+    def wake(self, host: str) -> None:
+        """Let a frozen node's process go on."""
+        self.node(host).send(signal.SIGCONT)
+
     def wait_until_serving(self, hosts: list[str] | None = None) -> None:
         """Wait until each node has a bundle and knows every listed host."""
         for host in hosts or self._hosts:
--- /dev/null
+++ b/tests/test_bundles.py
@@ -0,0 +1,158 @@
+"""Bundles in force everywhere, and never going back, with real processes."""
+
+import asyncio
+import json
+import urllib.request
+
+from damaskramp.bundle import parse_bundle_source, sign_bundle
+from damaskramp.http import HttpClient, HttpRequest
+from examples.fleet import HostSpec
+from tests.fleets import KEY, FleetTestCase, bundle, digest
+
+HOSTS = [
+    HostSpec(f"board-{number}", f"z{1 + number % 2}", "board", {"service_ms": 1})
+    for number in range(1, 11)
+]
+WITHDRAWN = f'withdrawn_keys = ["{digest(KEY)}"]\n'
+
+
+def withdrawing(version: int) -> str:
+    """Bundle that withdraws the key of ``clubs``."""
+    return WITHDRAWN + bundle(version)
+
+
+class BundleTestCase(FleetTestCase):
+    HOSTS = HOSTS
+    latest = 1
+
+    def next_version(self):
+        """Version greater than all that the class's fleet has seen."""
+        cls = type(self)
+        cls.latest += 1
+        return cls.latest
+
+    def version(self, host):
+        """Version in force at a node, 0 where it has none or does not answer."""
+        try:
+            shown = self.fleet.status(host)["bundle"]
+        except OSError:
+            return 0
+        return shown["version"] if shown else 0
+
+    def wait_for_version(self, version, hosts=None):
+        names = hosts or list(self.fleet.hosts)
+        self.eventually(lambda: all(self.version(h) == version for h in names))
+
+    def signed(self, source):
+        return sign_bundle(parse_bundle_source(source, "test").ok, self.fleet.key)
+
+
+class TestPublishing(BundleTestCase):
+    def test_change_reaches_every_node_by_few_watches(self):
+        version = self.next_version()
+        self.fleet.publish(bundle(version))
+        self.wait_for_version(version)
+        with urllib.request.urlopen(f"http://{self.fleet.platform}/stats") as answer:
+            watches = json.loads(answer.read())["watches"]
+        self.assertTrue(watches <= 6, f"{watches} watches of two zones")
+
+    def test_withdrawn_key_stops_on_kept_connections(self):
+        version = self.next_version()
+
+        async def talk():
+            host, _, port = self.fleet.http("board-1").rpartition(":")
+            client = HttpClient(host, int(port))
+            headers = ((b"authorization", b"Bearer " + KEY),)
+            request = HttpRequest("GET", "/board/x", headers)
+            before = (await client.request(request, 10.0)).ok
+            await asyncio.to_thread(self.fleet.publish, withdrawing(version))
+            for _ in range(600):
+                answer = (await client.request(request, 10.0)).ok
+                if answer.status != 200:
+                    break
+                await asyncio.sleep(0.05)
+            client.close()
+            return before.status, answer.value(b"damaskramp-reason")
+
+        told = self.run_loop(talk())
+        self.assertEqual((200, b"key_withdrawn"), told)
+        self.wait_for_version(version)
+        for host in self.fleet.hosts:
+            answer = self.call(host, "/board/x")
+            self.assertEqual(b"key_withdrawn", answer.value(b"damaskramp-reason"))
+
+
+class TestFailures(BundleTestCase):
+    def test_change_arrives_though_nodes_are_killed_and_frozen(self):
+        killed, frozen = ("board-1", "board-2"), ("board-3", "board-4")
+        rest = [host for host in self.fleet.hosts if host not in killed + frozen]
+        for host in killed:
+            self.fleet.node(host).kill()
+        for host in frozen:
+            self.fleet.freeze(host)
+        version = self.next_version()
+        self.fleet.publish(bundle(version))
+        self.wait_for_version(version, rest)
+        for host in frozen:
+            self.fleet.wake(host)
+        self.wait_for_version(version, rest + list(frozen))
+        for host in killed:
+            self.fleet.start_node(host)
+        self.wait_for_version(version)
+
+    def test_platform_that_comes_back_stale_takes_nothing_back(self):
+        stale, version = self.next_version(), self.next_version()
+        self.fleet.publish(bundle(version))
+        self.wait_for_version(version)
+        self.fleet.processes["platform"].kill()
+        self.assertEqual(200, self.call("board-9", "/board/x").status)
+        self.fleet.start_platform()
+        self.fleet.publish_hosts()
+        self.fleet.publish(bundle(stale))
+        self.fleet.node("board-9").kill()
+        self.fleet.start_node("board-9")
+        self.fleet.wait_until_serving(["board-9"])
+        seen = set()
+        for _ in range(40):
+            seen |= {self.version(host) for host in self.fleet.hosts}
+            self.run_loop(asyncio.sleep(0.05))
+        self.assertEqual({version}, seen)
+
+
+class TestOperators(BundleTestCase):
+    def test_two_bundles_of_one_version_are_settled_alike(self):
+        version = self.next_version()
+        pair = [self.signed(bundle(version, f"retries = {n}")) for n in (1, 2)]
+        for signed in pair:
+            self.fleet.publish_signed(signed.to_json())
+            self.run_loop(asyncio.sleep(0.3))
+        best = max(pair, key=lambda signed: signed.digest)
+
+        def settled():
+            shown = [self.fleet.status(host)["bundle"] for host in self.fleet.hosts]
+            return {bundle["digest"] for bundle in shown} == {best.digest}
+
+        self.eventually(settled)
+
+    def test_unsigned_and_older_bundles_change_nothing(self):
+        old, version = self.next_version(), self.next_version()
+        self.fleet.publish(bundle(version))
+        self.wait_for_version(version)
+        self.fleet.publish_signed(b'{"format": 1}')
+        self.fleet.publish(bundle(old))
+        self.run_loop(asyncio.sleep(1.0))
+        shown = {self.version(host) for host in self.fleet.hosts}
+        self.assertEqual({version}, shown)
+
+    def test_rollout_takes_its_zones_in_turn(self):
+        head = 'roll_first = ["z1"]\nroll_seconds = 3600'
+        first = [h for h, spec in self.fleet.hosts.items() if spec.zone == "z1"]
+        later = [h for h in self.fleet.hosts if h not in first]
+        version = self.next_version()
+        self.fleet.publish(bundle(version, head))
+        self.wait_for_version(version, first)
+        self.run_loop(asyncio.sleep(1.0))
+        self.assertNotIn(version, {self.version(host) for host in later})
+        version = self.next_version()
+        self.fleet.publish(bundle(version))
+        self.wait_for_version(version)
