Restarts with the clock behind, and counters of items, are covered

Cause: a host that restarts with its clock set back shows a lower incarnation than is known of it. Change: tests of the way out (refutation raises it, ownership follows); gauges of items kept and refused. Conclusion: no code but the gauges was needed.

--- a/damaskramp/membership/tests/test_protocol.py
+++ b/damaskramp/membership/tests/test_protocol.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from damaskramp.core import Incarnation
 from damaskramp.membership import MemberState, Topic
 from damaskramp.membership.tests.network import Network
 
@@ -77,6 +78,18 @@
         net.timers.advance(NEWS_SECONDS)
         self.assertEqual(LIVE, net.seen("z0-n1"))
 
+    def test_restart_with_clock_behind_takes_a_greater_incarnation(self):
+        net = network(nodes=4)
+        net.stations["z0-n1"].protocol.roster.renew(Incarnation(50))
+        net.timers.advance(NEWS_SECONDS)
+        net.stations["z0-n1"].running = False
+        net.timers.advance(15.0)
+        station = net.add("z0-n1", "z0", incarnation=2)
+        station.protocol.roster.receive_list(net.listed)
+        net.timers.advance(NEWS_SECONDS)
+        self.assertGreater(station.protocol.roster.own.incarnation, 50)
+        self.assertEqual(LIVE, net.seen("z0-n1"))
+
 
 class ListTest(testtools.TestCase):
     def test_removal_from_list_alone_kills_nobody(self):
--- a/damaskramp/node/gossip.py
+++ b/damaskramp/node/gossip.py
@@ -136,6 +136,9 @@
             self._spawn(self._sync(period.sync))
         self._drive_ownership()
         self._publish()
+        broadcast = self._protocol.broadcast
+        self._telemetry.value("broadcast_items", len(broadcast))
+        self._telemetry.value("broadcast_items_refused", broadcast.refused)
 
     def _publish(self) -> None:
         table = self._protocol.roster.take_table()
--- a/damaskramp/ownership/tests/test_activation.py
+++ b/damaskramp/ownership/tests/test_activation.py
@@ -11,7 +11,7 @@
     run_state_machine_as_test,
 )
 
-from damaskramp.core import Section, ServiceName, VirtualTimers, ZoneName
+from damaskramp.core import Incarnation, Section, ServiceName, VirtualTimers, ZoneName
 from damaskramp.membership import Member, MemberTable
 from damaskramp.ownership import (
     AcknowledgedOwnership,
@@ -304,6 +304,24 @@
             self.assertNotEqual([], zone.violations, trace.__name__)
 
 
+class IncarnationTest(testtools.TestCase):
+    def test_lower_incarnation_is_not_acknowledged_until_renewed(self):
+        timers = VirtualTimers()
+        older, newer = (
+            acknowledged(timers, Owner(HOSTS[0], Incarnation(number), "a:1"))
+            for number in (5, 10)
+        )
+        peer = acknowledged(timers, Owner(HOSTS[1], Incarnation(1), "b:1"))
+        for node in (newer, older):
+            node.receive_list([(HOSTS[0], "a:1"), (HOSTS[1], "b:1")])
+        self.assertIsNotNone(peer.receive_ask(newer.tick()[0][1]))
+        self.assertIsNone(peer.receive_ask(older.tick()[0][1]))
+        older.renew(Incarnation(10))
+        self.assertGreater(older.own.incarnation, 10)
+        timers.advance(2.0)
+        self.assertIsNotNone(peer.receive_ask(older.tick()[0][1]))
+
+
 class TakeoverTest(testtools.TestCase):
     def test_rank_passes_to_survivors_within_bound(self):
         zone = Zone()
