Mutual TLS between nodes, TLS towards callers, renewed without a restart

Cause: whoever reached the peer port could have calls run for any team, with no key at all.

Change: package tls with contexts that follow their files; peers must show a certificate of the fleet's authorities; settings [tls].

--- a/damaskramp/cli/node.py
+++ b/damaskramp/cli/node.py
@@ -10,7 +10,7 @@
 
 from damaskramp.cli.common import ExitCode, fail, run_program, set_up_logs
 from damaskramp.config import NodeSettings, load_toml
-from damaskramp.core import Place
+from damaskramp.core import FindingsError, Place
 from damaskramp.node import Node
 
 __all__ = ["main"]
@@ -56,6 +56,8 @@
     node = Node(settings)
     try:
         await node.start()
+    except FindingsError as error:
+        return fail(error.findings)
     except OSError as error:
         print(f"{Place(path, 'listen')}: {error}", file=sys.stderr)
         return ExitCode.FAILED
--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -12,6 +12,8 @@
     model_validator,
 )
 
+from damaskramp.tls.settings import TlsSettings
+
 __all__ = [
     "Address",
     "BackendSettings",
@@ -174,6 +176,7 @@
     backend: BackendSettings | None = None
     platform: PlatformSettings
     trust: TrustSettings
+    tls: TlsSettings = TlsSettings()
     limits: LimitSettings = LimitSettings()
     membership: MembershipTimes = MembershipTimes()
     log: LogSettings = LogSettings()
--- a/damaskramp/core/__init__.py
+++ b/damaskramp/core/__init__.py
@@ -1,7 +1,13 @@
 """Types that every other package shares: ids, states, findings, time."""
 
 from damaskramp.core.blackboard import Blackboard, Section
-from damaskramp.core.findings import Finding, Findings, Place, Severity
+from damaskramp.core.findings import (
+    Finding,
+    Findings,
+    FindingsError,
+    Place,
+    Severity,
+)
 from damaskramp.core.ids import (
     BundleVersion,
     HostId,
@@ -20,6 +26,7 @@
     "BundleVersion",
     "Finding",
     "Findings",
+    "FindingsError",
     "HostId",
     "Incarnation",
     "KeyDigest",
--- a/damaskramp/core/findings.py
+++ b/damaskramp/core/findings.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["Finding", "Findings", "Place", "Severity"]
+__all__ = ["Finding", "Findings", "FindingsError", "Place", "Severity"]
 
 
 class Severity(Enum):
@@ -93,3 +93,22 @@
 
     def __str__(self) -> str:
         return "\n".join(str(item) for item in self._items)
+
+
+class FindingsError(Exception):
+    """Input can't be used; carries every finding.
+
+    Parameters
+    ----------
+    findings : Findings
+        What is wrong.
+    """
+
+    def __init__(self, findings: Findings) -> None:
+        super().__init__(str(findings))
+        self._findings = findings
+
+    @property
+    def findings(self) -> Findings:
+        """What is wrong."""
+        return self._findings
--- a/damaskramp/http/server.py
+++ b/damaskramp/http/server.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import ssl
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -116,10 +117,14 @@
         """Whether there are more connections than allowed."""
         return len(self._connections) > self._settings.connections
 
-    async def start(self, host: str, port: int) -> None:
+    async def start(
+        self, host: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> None:
         """Listen on an address; raises OSError where it is in use."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Connection(self), host, port)
+        self._server = await loop.create_server(
+            lambda: _Connection(self), host, port, ssl=tls
+        )
 
     def announce_close(self) -> None:
         """Mark each further answer as the last one of its connection."""
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -12,6 +12,7 @@
 from damaskramp.config import NodeSettings
 from damaskramp.core import (
     Blackboard,
+    FindingsError,
     HostId,
     Incarnation,
     LoopTimers,
@@ -46,6 +47,7 @@
 from damaskramp.ownership import AcknowledgedOwnership, Owner, OwnershipSettings
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 from damaskramp.quota import StaticSplit
+from damaskramp.tls import TlsContexts
 
 __all__ = ["Node"]
 
@@ -113,7 +115,8 @@
     def _build_clients(self) -> None:
         settings = self._settings
         self._platform = _client(settings.platform.address, 4, 2**20)
-        self._pool = PeerPool()
+        self._tls = TlsContexts(settings.tls)
+        self._pool = PeerPool(self._tls)
         backend = settings.backend.address if settings.backend else "127.0.0.1:1"
         limit = settings.limits.whole_answer_bytes
         self._backend = _client(backend, settings.limits.connections, limit)
@@ -202,11 +205,17 @@
         ------
         OSError
             If an address is in use.
+        FindingsError
+            If a certificate can't be read.
         """
         listen = self._settings.listen
+        loaded = self._tls.load("settings")
+        if loaded.is_error():
+            raise FindingsError(loaded.error)
         await self._admin.start(*_split(listen.admin))
-        await self._peer.start(*_split(listen.peer))
-        await self._http.start(*_split(listen.http))
+        await self._peer.start(*_split(listen.peer), ssl=self._tls.peer_server)
+        await self._http.start(*_split(listen.http), self._tls.caller_server)
+        self._tls.follow(self._timers, self._telemetry.event)
         self._spawn(self._bundle_controller.run())
         self._spawn(self._watch_hosts().run())
         self._spawn(self._gossip.run())
@@ -228,6 +237,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tls.close()
         await self._gossip.close()
         self._pool.close()
         self._backend.close()
--- a/damaskramp/node/peers.py
+++ b/damaskramp/node/peers.py
@@ -12,6 +12,7 @@
 from damaskramp.membership import Member
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.codec import decode_head, encode_call
+from damaskramp.tls import TlsContexts
 from damaskramp.wire.peer_grpc import PeerStub
 
 __all__ = ["PeerClient", "PeerPool"]
@@ -24,16 +25,25 @@
 
 
 class PeerPool:
-    """One channel for each address of a peer."""
+    """One channel for each address of a peer.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    tls : TlsContexts
+        Mutual TLS, where nodes speak it.
+    """
+
+    def __init__(self, tls: TlsContexts) -> None:
+        self._tls = tls
         self._channels: dict[str, Channel] = {}
 
     def channel(self, address: str) -> Channel:
         """Channel to an address; it connects when first used."""
         if address not in self._channels:
             host, _, port = address.rpartition(":")
-            self._channels[address] = Channel(host, int(port))
+            self._channels[address] = Channel(
+                host.strip("[]"), int(port), ssl=self._tls.peer_client
+            )
         return self._channels[address]
 
     def forget(self, addresses: set[str]) -> None:
--- /dev/null
+++ b/damaskramp/tls/contexts.py
@@ -0,0 +1,145 @@
+"""TLS contexts that follow their files.
+
+A renewed file takes effect for connections made from then on. One that can't be
+read leaves the former certificate in use, and counts.
+"""
+
+import ssl
+from collections.abc import Callable
+from pathlib import Path
+
+from expression import Error, Ok, Result
+
+from damaskramp.core import Findings, Place, TimerHandle, TimerService
+from damaskramp.tls.settings import TlsSettings
+
+__all__ = ["TlsContexts"]
+
+HTTP_PROTOCOLS = ["http/1.1"]
+GRPC_PROTOCOLS = ["h2"]
+
+
+class TlsContexts:
+    """Contexts of one node; None where a side is served in the clear.
+
+    Parameters
+    ----------
+    settings : TlsSettings
+        Files.
+    """
+
+    def __init__(self, settings: TlsSettings) -> None:
+        self._settings = settings
+        self._caller_server: ssl.SSLContext | None = None
+        self._peer_server: ssl.SSLContext | None = None
+        self._peer_client: ssl.SSLContext | None = None
+        self._stamps: dict[str, tuple[int, int]] = {}
+        self._handle: TimerHandle | None = None
+
+    @property
+    def caller_server(self) -> ssl.SSLContext | None:
+        """Context towards callers."""
+        return self._caller_server
+
+    @property
+    def peer_server(self) -> ssl.SSLContext | None:
+        """Context for connections of other nodes, which must show a certificate."""
+        return self._peer_server
+
+    @property
+    def peer_client(self) -> ssl.SSLContext | None:
+        """Context for connections to other nodes."""
+        return self._peer_client
+
+    def load(self, source: str) -> Result[None, Findings]:
+        """Build the contexts.
+
+        Parameters
+        ----------
+        source : str
+            Name of the settings for findings.
+        """
+        findings = Findings()
+        callers, peers = self._settings.callers, self._settings.peers
+        if callers is not None:
+            self._caller_server = _context(ssl.PROTOCOL_TLS_SERVER, HTTP_PROTOCOLS)
+        if peers is not None:
+            self._peer_server = _context(ssl.PROTOCOL_TLS_SERVER, GRPC_PROTOCOLS)
+            self._peer_server.verify_mode = ssl.CERT_REQUIRED
+            self._peer_client = _context(ssl.PROTOCOL_TLS_CLIENT, GRPC_PROTOCOLS)
+        for key, error in self._read_files():
+            findings.error(Place(source, key), str(error))
+        return Error(findings) if findings.has_errors else Ok(None)
+
+    def follow(self, timers: TimerService, report: Callable[[str], None]) -> None:
+        """Look for renewed files again and again.
+
+        Parameters
+        ----------
+        report : callable
+            Taken with the event ``tls_reloaded`` or ``tls_reload_failed``.
+        """
+        if self._caller_server is not None or self._peer_server is not None:
+            period = self._settings.reload_seconds
+            self._handle = timers.every(period, lambda: self._reload(report))
+
+    def close(self) -> None:
+        """Look no more."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def _reload(self, report: Callable[[str], None]) -> None:
+        if self._changed():
+            failed = self._read_files()
+            report("tls_reload_failed" if failed else "tls_reloaded")
+
+    def _changed(self) -> bool:
+        stamps = {path: _stamp(path) for path in self._paths()}
+        return stamps != self._stamps
+
+    def _read_files(self) -> list[tuple[str, Exception]]:
+        """Load every file; what could not be read, by its key in the settings."""
+        self._stamps = {path: _stamp(path) for path in self._paths()}
+        failed = []
+        callers, peers = self._settings.callers, self._settings.peers
+        for key, pair, contexts in (
+            ("tls.callers", callers, (self._caller_server,)),
+            ("tls.peers", peers, (self._peer_server, self._peer_client)),
+        ):
+            if pair is None:
+                continue
+            try:
+                for context in contexts:
+                    context.load_cert_chain(pair.certificate, pair.key)
+            except (OSError, ssl.SSLError) as error:
+                failed.append((key, error))
+        if peers is not None:
+            try:
+                for context in (self._peer_server, self._peer_client):
+                    context.load_verify_locations(peers.authorities)
+            except (OSError, ssl.SSLError) as error:
+                failed.append(("tls.peers.authorities", error))
+        return failed
+
+    def _paths(self) -> list[str]:
+        pairs = [p for p in (self._settings.callers, self._settings.peers) if p]
+        paths = [path for pair in pairs for path in (pair.certificate, pair.key)]
+        if self._settings.peers is not None:
+            paths.append(self._settings.peers.authorities)
+        return paths
+
+
+def _context(protocol: int, application_protocols: list[str]) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.set_alpn_protocols(application_protocols)
+    return context
+
+
+def _stamp(path: str) -> tuple[int, int]:
+    """Identity of a file's contents; zeros where there is none."""
+    try:
+        shown = Path(path).stat()
+    except OSError:
+        return 0, 0
+    return shown.st_mtime_ns, shown.st_ino
