Choose backend servers by observed outcomes and latencies

Cause: round robin goes on sending to slow, dead, cold and leaving hosts until the lagging list says otherwise. Ruled out: the platform's load endpoint, which misleads; least outstanding calls alone, which a host that fails fast wins; one far exploration by a fixed share of calls, which costs every call the way to another zone. Change: ObservedBalancer (two choices, decaying peak latency, reported load that ages out, own zone first, rendezvous subset, ramp, ejection with trial calls). A first form of ejection judged peers that had not been tried yet as sound and ejected a host when all failed; peers now count only once they were tried, and an ejection is undone when the same failures show elsewhere. Conclusion: in force in the node.

--- a/damaskramp/balancing/__init__.py
+++ b/damaskramp/balancing/__init__.py
@@ -1,6 +1,13 @@
 """Which backend server a call goes to."""
 
 from damaskramp.balancing.balancer import Attempt, AttemptResult, LoadBalancer
+from damaskramp.balancing.observed import ObservedBalancer
 from damaskramp.balancing.round_robin import RoundRobin
 
-__all__ = ["Attempt", "AttemptResult", "LoadBalancer", "RoundRobin"]
+__all__ = [
+    "Attempt",
+    "AttemptResult",
+    "LoadBalancer",
+    "ObservedBalancer",
+    "RoundRobin",
+]
--- /dev/null
+++ b/damaskramp/balancing/tests/test_observed.py
@@ -0,0 +1,230 @@
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damaskramp.admission import Load
+from damaskramp.balancing import Attempt, AttemptResult, ObservedBalancer
+from damaskramp.config import BalancingSettings
+from damaskramp.core import HostId, Incarnation, ServiceName, VirtualTimers, ZoneName
+from damaskramp.membership import Member, MemberState
+from damaskramp.testing import LoopTestCase
+
+NEAR = ZoneName("z1")
+FAR = ZoneName("z2")
+
+
+def member(host, zone=NEAR, incarnation=1, state=MemberState.LIVE):
+    return Member(
+        HostId(host),
+        zone,
+        "127.0.0.1:1",
+        ServiceName("desk"),
+        state,
+        Incarnation(incarnation),
+    )
+
+
+def members(near, far=0):
+    return [member(f"n{i}") for i in range(near)] + [
+        member(f"f{i}", FAR) for i in range(far)
+    ]
+
+
+class TestObservedBalancer(LoopTestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimers(start=1000.0)
+        self.events = Counter()
+        self.balancer = self.build()
+
+    def build(self, own="me", **more):
+        return ObservedBalancer(
+            BalancingSettings(**more),
+            self.timers,
+            HostId(own),
+            NEAR,
+            lambda name: self.events.update([name]),
+        )
+
+    def call(self, table, outcome=lambda host: AttemptResult.ANSWERED, **more):
+        """One call, ended at once; the host that got it, or None."""
+        chosen = self.balancer.choose(table, ())
+        if chosen is None:
+            return None
+        self.balancer.started(chosen.host)
+        load = more.get("load", lambda host: None)(chosen.host)
+        seconds = more.get("seconds", lambda host: 0.01)(chosen.host)
+        result = outcome(chosen.host)
+        self.balancer.finished(Attempt(chosen.host, result, seconds, load))
+        self.timers.advance(more.get("step", 0.01))
+        return chosen.host
+
+    def spread(self, count, table, *args, **more):
+        return Counter(self.call(table, *args, **more) for _ in range(count))
+
+    def test_own_zone_first(self):
+        spread = self.spread(200, members(2, 2))
+        # Each far one is asked once, to learn how quick it is.
+        self.assertGreaterEqual(spread["n0"] + spread["n1"], 198)
+
+    def test_spills_to_other_zones_when_own_is_saturated(self):
+        full = Load(in_flight=8, limit=8)
+        table = members(2, 2)
+        load = {"n0": full, "n1": full}
+        spread = self.spread(200, table, load=load.get)
+        self.assertGreater(spread["f0"] + spread["f1"], 150)
+
+    def test_report_of_saturation_ages_out(self):
+        table = members(1, 1)
+        self.call(table, load=lambda host: Load(in_flight=8, limit=8))
+        self.assertEqual("f0", self.call(table))
+        self.timers.advance(BalancingSettings().load_seconds)
+        self.assertEqual("n0", self.call(table))
+
+    def test_spills_when_own_zone_is_gone(self):
+        self.assertEqual({"f0"}, set(self.spread(5, members(0, 1))))
+
+    def test_slow_one_gets_less(self):
+        slow = {"n0": 0.05}
+        spread = self.spread(600, members(3), seconds=lambda h: slow.get(h, 0.01))
+        self.assertLess(spread["n0"], 600 / 3 / 5)
+        self.assertGreater(spread["n0"], 0)
+
+    def test_slow_own_zone_is_left_for_a_much_quicker_one(self):
+        slow = {"n0": 0.05}
+        spread = self.spread(200, members(1, 2), seconds=lambda h: slow.get(h, 0.01))
+        self.assertLess(spread["n0"], 100)
+
+    def test_failing_one_is_ejected_and_tried_by_single_calls(self):
+        def outcome(host):
+            failed = host == "n0"
+            return AttemptResult.FAILED if failed else AttemptResult.ANSWERED
+
+        self.spread(100, members(3), outcome)
+        self.assertEqual({"n0"}, self.balancer.ejected)
+        # 20 s with trial calls at doubled distances: at most 5.
+        spread = self.spread(2000, members(3), outcome)
+        self.assertLessEqual(spread["n0"], 5)
+        self.assertGreaterEqual(spread["n0"], 1)
+
+    def test_one_trial_call_at_a_time(self):
+        self.eject("n0")
+        self.timers.advance(60.0)
+        first = self.balancer.choose(members(3), ())
+        self.assertEqual("n0", first.host)
+        self.balancer.started(first.host)
+        others = {self.balancer.choose(members(3), ()).host for _ in range(50)}
+        self.assertNotIn("n0", others)
+
+    def test_cancelled_trial_leaves_room_for_another(self):
+        self.eject("n0")
+        self.timers.advance(60.0)
+        for _ in range(2):
+            chosen = self.call(members(3), lambda host: AttemptResult.CANCELLED)
+            self.assertEqual("n0", chosen)
+
+    def eject(self, host):
+        def outcome(chosen):
+            failed = chosen == host
+            return AttemptResult.FAILED if failed else AttemptResult.ANSWERED
+
+        while host not in self.balancer.ejected:
+            self.call(members(3), outcome)
+
+    def test_taken_back_one_ramps_up(self):
+        self.eject("n0")
+        self.timers.advance(60.0)
+        self.assertEqual("n0", self.call(members(3)))
+        self.assertEqual(frozenset(), self.balancer.ejected)
+        early = self.spread(100, members(3), step=0.01)["n0"]
+        self.timers.advance(BalancingSettings().ramp_seconds)
+        late = self.spread(100, members(3), step=0.01)["n0"]
+        self.assertLess(early, 20)
+        self.assertGreater(late, 20)
+
+    def test_what_fails_everywhere_ejects_none(self):
+        self.spread(300, members(3), lambda host: AttemptResult.FAILED)
+        self.assertEqual(frozenset(), self.balancer.ejected)
+
+    def test_new_host_starts_with_a_small_share(self):
+        self.spread(10, members(2))
+        spread = self.spread(100, members(3), step=0.001)
+        self.assertIn("n2", spread)
+        self.assertLess(spread["n2"], 20)
+
+    def test_new_incarnation_is_cold_and_forgets_that_it_was_leaving(self):
+        table = members(2)
+        leaving = {"n0": Load(leaving=True)}
+        while not self.balancer.leaving:
+            self.call(table, load=leaving.get)
+        table[0] = member("n0", incarnation=2)
+        spread = self.spread(100, table, step=0.001)
+        self.assertIn("n0", spread)
+        self.assertLess(spread["n0"], 25)
+
+    def test_leaving_one_gets_nothing_after_its_first_word(self):
+        table = members(1, 1)
+        self.call(table, load=lambda host: Load(leaving=True))
+        seconds = BalancingSettings().leaving_seconds
+        spread = self.spread(90, table, step=seconds / 100)
+        self.assertEqual({"f0"}, set(spread))
+        self.assertEqual(1, self.events["backend_server_leaving"])
+
+    def test_listed_as_leaving_is_never_chosen(self):
+        table = [member("n0", state=MemberState.LEAVING)]
+        self.assertIsNone(self.call(table))
+
+    def test_all_that_are_leaving_are_not_chosen(self):
+        table = members(1)
+        self.call(table, load=lambda host: Load(leaving=True))
+        self.assertIsNone(self.call(table))
+
+    def test_cancelled_calls_teach_nothing(self):
+        self.spread(50, members(2), lambda host: AttemptResult.CANCELLED)
+        self.assertEqual(frozenset(), self.balancer.ejected)
+
+    def test_hosts_used_of_a_large_service_are_bounded(self):
+        bounds = BalancingSettings()
+        used = set()
+        table = members(40, 40)
+        for _ in range(2000):
+            used.add(self.call(table, seconds=lambda h: 0.05 if h[0] == "n" else 0.01))
+        self.assertLessEqual(len(used), bounds.near_subset + bounds.far_subset)
+
+    def test_subsets_of_many_nodes_cover_hosts_evenly(self):
+        table = members(14)
+        picks = Counter()
+        for number in range(400):
+            balancer = self.build(own=f"node-{number}", near_subset=4)
+            picks.update(balancer.choose(table, ()).host for _ in range(10))
+        self.assertEqual(14, len(picks))
+        self.assertLess(max(picks.values()), 1.5 * 4000 / 14)
+
+    def test_state_of_hosts_that_are_gone_is_dropped(self):
+        for number in range(50):
+            self.call([member(f"n{number}"), member(f"n{number + 1}")])
+        self.assertLessEqual(len(self.balancer._records), 2)
+
+    def test_same_seed_chooses_alike(self):
+        other = self.build()
+        table = members(5)
+        mine = [self.balancer.choose(table, ()).host for _ in range(20)]
+        self.assertEqual(mine, [other.choose(table, ()).host for _ in range(20)])
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(
+        st.integers(2, 6),
+        st.lists(
+            st.tuples(st.sampled_from(list(AttemptResult)), st.floats(0.001, 3.0)),
+            max_size=120,
+        ),
+    )
+    def test_never_all_ejected(self, count, attempts):
+        self.balancer = self.build()
+        table = members(count)
+        for result, step in attempts:
+            chosen = self.call(table, lambda host, result=result: result, step=step)
+            self.assertIsNotNone(chosen)
+            share = len(self.balancer.ejected) / count
+            self.assertLessEqual(share, BalancingSettings().eject_share)
--- a/damaskramp/config/__init__.py
+++ b/damaskramp/config/__init__.py
@@ -3,10 +3,13 @@
 from damaskramp.config.settings import (
     Address,
     BackendSettings,
+    BalancingSettings,
     LimitSettings,
     ListenSettings,
     NodeSettings,
     PlatformSettings,
+    QuarantineSettings,
+    RetrySettings,
     Settings,
 )
 from damaskramp.config.toml_input import load_toml, parse_toml
@@ -14,10 +17,13 @@
 __all__ = [
     "Address",
     "BackendSettings",
+    "BalancingSettings",
     "LimitSettings",
     "ListenSettings",
     "NodeSettings",
     "PlatformSettings",
+    "QuarantineSettings",
+    "RetrySettings",
     "Settings",
     "load_toml",
     "parse_toml",
--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -8,12 +8,15 @@
 __all__ = [
     "Address",
     "BackendSettings",
+    "BalancingSettings",
     "LimitSettings",
     "ListenSettings",
     "LogSettings",
     "NodeIdentity",
     "NodeSettings",
     "PlatformSettings",
+    "QuarantineSettings",
+    "RetrySettings",
     "Settings",
     "TrustSettings",
 ]
@@ -45,6 +48,8 @@
 """Short identifier of letters, digits, dot, underscore and hyphen."""
 
 PositiveSeconds = Annotated[float, Field(gt=0, strict=False)]
+Fraction = Annotated[float, Field(ge=0, le=1, strict=False)]
+Count = Annotated[int, Field(ge=1)]
 
 
 class NodeIdentity(Settings):
@@ -114,6 +119,108 @@
     depth: Annotated[int, Field(gt=0, le=64)] = 32
 
 
+class BalancingSettings(Settings):
+    """Choice among the backend servers of a service.
+
+    Attributes
+    ----------
+    seed : int
+        Seed of the random choices, mixed with the name of the host.
+    near_subset, far_subset : int
+        Backend servers of one service that this node sends to in its own zone,
+        and in all the others together.
+    spill_ratio, spill_seconds : float
+        Another zone is also used where its expected time is this many times, and
+        by this much, below that of the own zone.
+    latency_half_life_seconds : float
+        Time in which an observed latency loses half its weight.
+    load_seconds : float
+        Age at which a load report or a refusal is no longer believed.
+    failures : int
+        Failures in a row before ejection is considered.
+    failure_margin : float
+        By how much its share of failures must exceed that of its peers.
+    eject_seconds, eject_limit_seconds : float
+        Length of the first ejection, which doubles, and the longest.
+    eject_share : float
+        Largest share of a service's backend servers that is ejected at once.
+    ramp_seconds : float
+        Time in which a cold backend server comes to its full share.
+    ramp_floor : float
+        Share of its full share that it starts with.
+    leaving_seconds : float
+        How long a backend server that said it is leaving gets nothing new.
+    """
+
+    seed: Annotated[int, Field(ge=0)] = 0
+    near_subset: Count = 8
+    far_subset: Count = 4
+    spill_ratio: Annotated[float, Field(ge=1, strict=False)] = 3.0
+    spill_seconds: PositiveSeconds = 0.005
+    latency_half_life_seconds: PositiveSeconds = 5.0
+    load_seconds: PositiveSeconds = 1.0
+    failures: Count = 3
+    failure_margin: Fraction = 0.3
+    eject_seconds: PositiveSeconds = 1.0
+    eject_limit_seconds: PositiveSeconds = 30.0
+    eject_share: Fraction = 0.5
+    ramp_seconds: PositiveSeconds = 10.0
+    ramp_floor: Fraction = 0.1
+    leaving_seconds: PositiveSeconds = 10.0
+
+
+class RetrySettings(Settings):
+    """Retries and hints of when to come back.
+
+    Attributes
+    ----------
+    seed : int
+        Seed of the jitter, mixed with the name of the host.
+    burst : int
+        Unspent retries that one team can have saved up at this node.
+    backoff_seconds, backoff_limit_seconds : float
+        Bound of the first wait, which doubles, and of the longest.
+    redirects : int
+        Times that one hop is sent on to another host at no cost to the budget.
+    hint_spread_seconds : float
+        Least width of the interval over which hints are spread.
+    """
+
+    seed: Annotated[int, Field(ge=0)] = 0
+    burst: Count = 20
+    backoff_seconds: PositiveSeconds = 0.01
+    backoff_limit_seconds: PositiveSeconds = 0.25
+    redirects: Annotated[int, Field(ge=0)] = 3
+    hint_spread_seconds: PositiveSeconds = 2.0
+
+
+class QuarantineSettings(Settings):
+    """Requests that end the backend servers running them.
+
+    Attributes
+    ----------
+    deaths : int
+        Backend servers that a request may end before it is refused.
+    suspect_seconds : float
+        How long a suspicion lasts.
+    quarantine_seconds : float
+        How long a request stays refused after the last death.
+    suspects : int
+        Suspicions held at most; the oldest are dropped first.
+    suspects_per_death : int
+        Requests held under suspicion for one death, the newest first.
+    confirm_seconds : float
+        Time to find out whether the backend server has died.
+    """
+
+    deaths: Annotated[int, Field(ge=2)] = 2
+    suspect_seconds: PositiveSeconds = 120.0
+    quarantine_seconds: PositiveSeconds = 600.0
+    suspects: Count = 4096
+    suspects_per_death: Count = 128
+    confirm_seconds: PositiveSeconds = 0.25
+
+
 class LogSettings(Settings):
     """Logging."""
 
@@ -129,4 +236,7 @@
     platform: PlatformSettings
     trust: TrustSettings
     limits: LimitSettings = LimitSettings()
+    balancing: BalancingSettings = BalancingSettings()
+    retries: RetrySettings = RetrySettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
     log: LogSettings = LogSettings()
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -6,7 +6,7 @@
 from grpclib.server import Server as GrpcServer
 
 from damaskramp.admission import FixedAdmission
-from damaskramp.balancing import RoundRobin
+from damaskramp.balancing import ObservedBalancer
 from damaskramp.bundle import BundleView
 from damaskramp.config import NodeSettings
 from damaskramp.core import (
@@ -116,11 +116,15 @@
             self._contexts,
             self._telemetry,
         )
+        own = HostId(settings.node.host)
+        balancer = ObservedBalancer(
+            settings.balancing, self._timers, own, zone, self._telemetry.event
+        )
         self._dispatcher = Dispatcher(
-            HostId(settings.node.host),
+            own,
             self._timers,
             self._members,
-            RoundRobin(zone),
+            balancer,
             self._executor,
             PeerClient(self._timers, self._pool),
         )
--- a/damaskramp/node/dispatch.py
+++ b/damaskramp/node/dispatch.py
@@ -16,6 +16,8 @@
 
 FINAL_REASONS = frozenset({Reason.KEY_WITHDRAWN, Reason.DEADLINE_EXCEEDED})
 
+SHED_STATUS = 503
+
 
 class Dispatcher:
     """Sends calls to the nodes beside the backend servers of their service.
@@ -111,7 +113,13 @@
 
 def _result(reply: Reply) -> AttemptResult:
     if reply.outcome is Outcome.ANSWER:
-        return AttemptResult.ANSWERED
+        return _answer_result(reply.status)
     if reply.outcome is Outcome.NOT_RUN and reply.reason is not Reason.CONNECT_FAILED:
         return AttemptResult.SHED
     return AttemptResult.FAILED
+
+
+def _answer_result(status: int) -> AttemptResult:
+    if status == SHED_STATUS:
+        return AttemptResult.SHED
+    return AttemptResult.FAILED if status >= 500 else AttemptResult.ANSWERED
--- a/damaskramp/node/execution.py
+++ b/damaskramp/node/execution.py
@@ -1,5 +1,7 @@
 """Running a call on the backend server of this host."""
 
+from dataclasses import replace
+
 from expression import Result
 
 from damaskramp.admission import AdmissionController, Demand, Permit, Sample
@@ -71,7 +73,8 @@
         if reply is None:
             reply = await self._admitted(call)
         self._telemetry.executed(call.context, reply)
-        return reply.with_load(self._admission.load)
+        leaving = self._lifecycle.value is Lifecycle.LEAVING
+        return reply.with_load(replace(self._admission.load, leaving=leaving))
 
     def _check(self, context: CallContext) -> Reply | None:
         """Refusal that needs no look at the backend server."""
