Bound the attempts of a whole call chain by first attempts from outside

Cause: each request carried a full budget of retries however many failed, so two retries made three attempts; a backend server that sent its own calls again multiplied them at each hop; redirects were not bounded; an attempt that may have run followed by one that was refused was told as not run. Ruled out: a ratio bucket at each hop, whose allowances multiply over hops; charging a retry where it is spent, which needs the entry node's bucket at depth. Change: the entry node grants the allowance out of a bucket for each team that only first attempts from outside fill; a repeat by a backend server, or by a caller under a stated id, costs one retry; redirects are bounded for each hop and also cover refused connections; waits have full jitter; hints are spread.

--- a/damaskramp/balancing/observed.py
+++ b/damaskramp/balancing/observed.py
@@ -10,14 +10,19 @@
 
 from collections.abc import Callable, Collection, Sequence
 
-import numpy as np
 import xxhash
 
 from damaskramp.balancing.balancer import Attempt, AttemptResult, LoadBalancer
 from damaskramp.balancing.ejection import OutlierEjection
 from damaskramp.balancing.host_record import HostRecord
 from damaskramp.config import BalancingSettings
-from damaskramp.core import HostId, ServiceName, TimerService, ZoneName
+from damaskramp.core import (
+    HostId,
+    ServiceName,
+    TimerService,
+    ZoneName,
+    host_generator,
+)
 from damaskramp.membership import Member
 
 __all__ = ["ObservedBalancer"]
@@ -56,8 +61,7 @@
         self._own = own
         self._zone = zone
         self._event = event
-        seed = [settings.seed, xxhash.xxh3_64_intdigest(own.encode())]
-        self._generator = np.random.default_rng(seed)
+        self._generator = host_generator(settings.seed, own)
         self._ejection = OutlierEjection(settings, self._generator, event)
         self._records: dict[HostId, HostRecord] = {}
         self._services: dict[ServiceName, frozenset[HostId]] = {}
--- a/damaskramp/core/__init__.py
+++ b/damaskramp/core/__init__.py
@@ -13,6 +13,7 @@
     ZoneName,
 )
 from damaskramp.core.outcomes import Outcome, Reason
+from damaskramp.core.randomness import host_generator
 from damaskramp.core.timers import LoopTimers, TimerHandle, TimerService, VirtualTimers
 
 __all__ = [
@@ -36,4 +37,5 @@
     "TimerService",
     "VirtualTimers",
     "ZoneName",
+    "host_generator",
 ]
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -16,6 +16,7 @@
     LoopTimers,
     TimerService,
     ZoneName,
+    host_generator,
 )
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
 from damaskramp.membership import MemberTable
@@ -30,9 +31,11 @@
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
+from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 from damaskramp.quota import StaticSplit
+from damaskramp.retries import Backoff, HintSpreader
 
 __all__ = ["Node"]
 
@@ -121,13 +124,23 @@
         balancer = ObservedBalancer(
             settings.balancing, self._timers, own, zone, self._telemetry.event
         )
+        generator = host_generator(settings.retries.seed, own)
         self._dispatcher = Dispatcher(
             own,
             self._timers,
+            settings.retries,
+            Backoff(settings.retries, generator),
             self._members,
             balancer,
             self._executor,
             PeerClient(self._timers, self._pool),
+            self._telemetry.event,
+        )
+        allowances = RetryAllowances(
+            settings.retries,
+            self._timers,
+            HintSpreader(settings.retries, generator),
+            self._telemetry.event,
         )
         self._entry = Entry(
             settings,
@@ -136,6 +149,7 @@
             self._contexts,
             self._limiter,
             self._dispatcher,
+            allowances,
             self._telemetry,
         )
 
--- a/damaskramp/node/contexts.py
+++ b/damaskramp/node/contexts.py
@@ -6,6 +6,7 @@
 import secrets
 
 from damaskramp.node.calls import CallContext
+from damaskramp.retries import RepeatedCalls
 
 __all__ = ["ContextTable", "RunningContext"]
 
@@ -24,6 +25,7 @@
     def __init__(self, context: CallContext) -> None:
         self._context = context
         self._retries_left = context.retries_left
+        self._calls = RepeatedCalls()
 
     @property
     def context(self) -> CallContext:
@@ -35,14 +37,24 @@
         """Retries that no call of it holds now."""
         return self._retries_left
 
-    def lend_retries(self) -> int:
-        """Hand all remaining retries to one call."""
+    def begin_call(self, digest: bytes) -> int | None:
+        """Lend all remaining retries to a call; None where it is not allowed.
+
+        A call that the backend server sends again costs a retry. A call that runs
+        beside another finds the retries lent, and sets out with none.
+        """
+        if self._calls.is_repeat(digest):
+            if self._retries_left == 0:
+                return None
+            self._retries_left -= 1
+        self._calls.begin(digest)
         lent = self._retries_left
         self._retries_left = 0
         return lent
 
-    def return_retries(self, unspent: int) -> None:
-        """Take back what a call did not spend."""
+    def end_call(self, digest: bytes, failed: bool, unspent: int) -> None:
+        """Record the end of a call and take back what it did not spend."""
+        self._calls.end(digest, failed)
         self._retries_left += unspent
 
 
--- a/damaskramp/node/dispatch.py
+++ b/damaskramp/node/dispatch.py
@@ -1,20 +1,28 @@
 """Choosing a host for a call, and trying again within the retry budget."""
 
+import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 
 from damaskramp.balancing import Attempt, AttemptResult, LoadBalancer
+from damaskramp.config import RetrySettings
 from damaskramp.core import HostId, Outcome, Reason, Section, TimerService
 from damaskramp.membership import Member, MemberTable
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.execution import Executor
 from damaskramp.node.peers import PeerClient
+from damaskramp.retries import Backoff, RetryLoop, Step, Verdict
 
 __all__ = ["Dispatcher"]
 
-FREE_REASONS = frozenset({Reason.STOPPING, Reason.NO_BACKEND_SERVER})
-"""Refusals that send the call on to another host at no cost to the budget."""
+ELSEWHERE_REASONS = frozenset(
+    {Reason.STOPPING, Reason.NO_BACKEND_SERVER, Reason.CONNECT_FAILED}
+)
+"""Refusals that prove that no backend server saw the call."""
 
-FINAL_REASONS = frozenset({Reason.KEY_WITHDRAWN, Reason.DEADLINE_EXCEEDED})
+FINAL_REASONS = frozenset(
+    {Reason.KEY_WITHDRAWN, Reason.DEADLINE_EXCEEDED, Reason.QUARANTINED}
+)
 
 SHED_STATUS = 503
 
@@ -28,6 +36,10 @@
         This host; its calls to itself need no message.
     timers : TimerService
         Time.
+    settings : RetrySettings
+        Bounds of the retries.
+    backoff : Backoff
+        Waits between attempts.
     members : Section of MemberTable
         Known members.
     balancer : LoadBalancer
@@ -36,16 +48,21 @@
         Execution on this host.
     peers : PeerClient
         Execution on other hosts.
+    event : callable
+        Told the name of each retry and redirect, for counters.
     """
 
     def __init__(
         self,
         own: HostId,
         timers: TimerService,
+        settings: RetrySettings,
+        backoff: Backoff,
         members: Section[MemberTable],
         balancer: LoadBalancer,
         executor: Executor,
         peers: PeerClient,
+        event: Callable[[str], None],
     ) -> None:
         self._own = own
         self._timers = timers
@@ -53,29 +70,35 @@
         self._balancer = balancer
         self._executor = executor
         self._peers = peers
+        self._settings = settings
+        self._backoff = backoff
+        self._event = event
 
     async def dispatch(self, call: Call) -> Reply:
         """Run a call on some host; each host is tried at most once."""
+        retries = call.context.retries_left
+        loop = RetryLoop(self._settings, self._backoff, retries)
         reply = Reply.not_run(Reason.NO_BACKEND_SERVER, 1.0)
-        retries_left = call.context.retries_left
         tried: set[HostId] = set()
-        attempt = 0
+        may_have_run = False
         while True:
             members = self._members.value.serving(call.context.service)
             member = self._balancer.choose(members, tried)
             if member is None:
-                return reply.with_retries(retries_left)
+                break
+            attempt = len(tried)
             tried.add(member.host)
-            context = replace(call.context, retries_left=retries_left, attempt=attempt)
+            context = replace(call.context, retries_left=loop.left, attempt=attempt)
             reply = await self._attempt(member, replace(call, context=context))
-            retries_left = min(retries_left, _unspent(reply, retries_left))
-            if not self._may_retry(call, reply):
-                return reply.with_retries(retries_left)
-            if reply.reason not in FREE_REASONS:
-                if retries_left == 0:
-                    return reply.with_retries(0)
-                retries_left -= 1
-            attempt += 1
+            may_have_run |= reply.outcome is Outcome.UNKNOWN
+            remaining = call.context.deadline - self._timers.now
+            verdict = _verdict(call, reply)
+            decision = loop.after(verdict, _unspent(reply, loop.left), remaining)
+            if decision.step is Step.STOP:
+                break
+            self._event(decision.step.value)
+            await _sleep(self._timers, decision.wait)
+        return _told(reply, may_have_run).with_retries(loop.left)
 
     async def _attempt(self, member: Member, call: Call) -> Reply:
         started = self._timers.now
@@ -94,14 +117,34 @@
             load = reply.load if reply else None
             self._balancer.finished(Attempt(member.host, result, seconds, load))
 
-    def _may_retry(self, call: Call, reply: Reply) -> bool:
-        if reply.outcome is Outcome.ANSWER or reply.reason in FINAL_REASONS:
-            return False
-        if self._timers.now >= call.context.deadline:
-            return False
-        if reply.outcome is Outcome.NOT_RUN:
-            return True
-        return reply.outcome is Outcome.UNKNOWN and call.context.idempotent
+
+def _verdict(call: Call, reply: Reply) -> Verdict:
+    if reply.outcome is Outcome.ANSWER or reply.reason in FINAL_REASONS:
+        return Verdict.FINAL
+    if reply.outcome is Outcome.NOT_RUN:
+        elsewhere = reply.reason in ELSEWHERE_REASONS
+        return Verdict.ELSEWHERE if elsewhere else Verdict.RETRIABLE
+    if reply.outcome is Outcome.UNKNOWN and call.context.idempotent:
+        return Verdict.RETRIABLE
+    return Verdict.FINAL
+
+
+def _told(reply: Reply, may_have_run: bool) -> Reply:
+    """Reply for the whole hop: one attempt that may have run decides."""
+    if may_have_run and reply.outcome is Outcome.NOT_RUN:
+        return replace(reply, outcome=Outcome.UNKNOWN)
+    return reply
+
+
+async def _sleep(timers: TimerService, seconds: float) -> None:
+    if seconds <= 0:
+        return
+    done = asyncio.get_running_loop().create_future()
+    handle = timers.after(seconds, lambda: done.done() or done.set_result(None))
+    try:
+        await done
+    finally:
+        handle.cancel()
 
 
 def _unspent(reply: Reply, lent: int) -> int:
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -1,7 +1,7 @@
 """Entry of requests, from callers and from the backend server of this host."""
 
 import uuid
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
@@ -28,6 +28,7 @@
     strip_private,
 )
 from damaskramp.node.responses import to_http
+from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.quota import RateLimiter
 
@@ -64,6 +65,8 @@
         Rates of the teams.
     dispatcher : Dispatcher
         Way to the backend servers.
+    allowances : RetryAllowances
+        Retries that calls set out with.
     telemetry : Telemetry
         Counters.
     """
@@ -76,6 +79,7 @@
         contexts: ContextTable,
         limiter: RateLimiter,
         dispatcher: Dispatcher,
+        allowances: RetryAllowances,
         telemetry: Telemetry,
     ) -> None:
         self._settings = settings
@@ -84,6 +88,7 @@
         self._contexts = contexts
         self._limiter = limiter
         self._dispatcher = dispatcher
+        self._allowances = allowances
         self._telemetry = telemetry
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -94,7 +99,7 @@
             self._telemetry.refused(prepared.error)
             return to_http(prepared.error)
         arrival, call = prepared.ok
-        reply = await self._run(arrival, call)
+        reply = self._allowances.with_spread_hint(await self._run(arrival, call))
         self._telemetry.answered(call.context, reply, self._timers.now - started)
         return to_http(reply, call.context.request_id)
 
@@ -169,20 +174,16 @@
 
     async def _run(self, arrival: _Arrival, call: Call) -> Reply:
         parent = arrival.caller.parent
+        stated = bool(arrival.request.values(IDEMPOTENCY_KEY))
+        dispatch = self._dispatcher.dispatch
         if parent is not None:
-            lent = parent.lend_retries()
-            reply = await self._dispatch(call, lent)
-            parent.return_retries(reply.retries_left)
-            return reply
+            return await self._allowances.run_nested(call, parent, stated, dispatch)
         if call.context.team:
             taken = await self._limiter.take(call.context.team, call.context.deadline)
             if taken.is_error():
                 return Reply.refused(taken.error)
-        return await self._dispatch(call, arrival.view.contents.bundle.retries)
-
-    async def _dispatch(self, call: Call, retries: int) -> Reply:
-        context = replace(call.context, retries_left=retries)
-        return await self._dispatcher.dispatch(Call(context, call.request))
+        head = arrival.view.contents.bundle
+        return await self._allowances.run_outside(call, head, stated, dispatch)
 
 
 def _forwarded(request: HttpRequest) -> HttpRequest:
--- /dev/null
+++ b/damaskramp/node/retrying.py
@@ -0,0 +1,128 @@
+"""The allowance of retries that a call sets out with."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+from damaskramp.bundle import BundleHead
+from damaskramp.config import RetrySettings
+from damaskramp.core import Outcome, Reason, TimerService
+from damaskramp.node.calls import Call, Reply
+from damaskramp.node.contexts import RunningContext
+from damaskramp.retries import (
+    HintSpreader,
+    RecentFailures,
+    RetryBudgets,
+    call_digest,
+)
+
+__all__ = ["RetryAllowances"]
+
+Dispatch = Callable[[Call], Awaitable[Reply]]
+
+EXHAUSTED_RETRY_AFTER_SECONDS = 1.0
+TOO_MANY_REQUESTS = 429
+
+
+class RetryAllowances:
+    """Hands calls their retries and takes back what they did not spend.
+
+    Parameters
+    ----------
+    settings : RetrySettings
+        Bounds.
+    timers : TimerService
+        Time.
+    hints : HintSpreader
+        Spread of hints to callers.
+    event : callable
+        Told the name of each event, for counters.
+    """
+
+    def __init__(
+        self,
+        settings: RetrySettings,
+        timers: TimerService,
+        hints: HintSpreader,
+        event: Callable[[str], None],
+    ) -> None:
+        self._budgets = RetryBudgets(settings)
+        self._failures = RecentFailures(timers)
+        self._hints = hints
+        self._event = event
+
+    async def run_outside(
+        self, call: Call, head: BundleHead, id_stated: bool, dispatch: Dispatch
+    ) -> Reply:
+        """Run a call from outside.
+
+        Parameters
+        ----------
+        id_stated : bool
+            Whether the caller chose the request id, so that it may have run before.
+        """
+        context = call.context
+        repeat = id_stated and self._failures.holds(context.team, context.request_id)
+        if repeat and not self._budgets.take(context.team):
+            return self._exhausted(id_stated)
+        granted = 0
+        if not repeat:
+            granted = self._budgets.grant(context.team, head.retry_ratio, head.retries)
+        reply = await dispatch(_lend(call, granted))
+        self._budgets.give_back(context.team, min(granted, reply.retries_left))
+        if id_stated:
+            self._remember(call, reply)
+        return reply
+
+    async def run_nested(
+        self,
+        call: Call,
+        parent: RunningContext,
+        id_stated: bool,
+        dispatch: Dispatch,
+    ) -> Reply:
+        """Run a call that the backend server makes for a running one."""
+        request = call.request
+        digest = call_digest(request.method, request.target, request.body)
+        lent = parent.begin_call(digest)
+        if lent is None:
+            return self._exhausted(id_stated)
+        unspent = 0
+        failed = True
+        try:
+            reply = await dispatch(_lend(call, lent))
+            unspent = reply.retries_left
+            failed = _failed(reply)
+        finally:
+            parent.end_call(digest, failed, min(lent, unspent))
+        return reply
+
+    def with_spread_hint(self, reply: Reply) -> Reply:
+        """Reply whose hint differs from that of others refused with it."""
+        return replace(reply, retry_after=self._hints.spread(reply.retry_after))
+
+    def _remember(self, call: Call, reply: Reply) -> None:
+        context = call.context
+        if _failed(reply):
+            self._failures.add(context.team, context.request_id)
+        else:
+            self._failures.discard(context.team, context.request_id)
+
+    def _exhausted(self, id_stated: bool) -> Reply:
+        """Refuse a repeat; one under a stated id may have run before."""
+        self._event("repeat_refused")
+        outcome = Outcome.UNKNOWN if id_stated else Outcome.NOT_RUN
+        return Reply(
+            outcome,
+            Reason.RETRIES_EXHAUSTED,
+            retry_after=EXHAUSTED_RETRY_AFTER_SECONDS,
+        )
+
+
+def _lend(call: Call, retries: int) -> Call:
+    return replace(call, context=replace(call.context, retries_left=retries))
+
+
+def _failed(reply: Reply) -> bool:
+    if reply.outcome is not Outcome.ANSWER:
+        return True
+    return reply.status >= 500 or reply.status == TOO_MANY_REQUESTS
--- /dev/null
+++ b/damaskramp/node/tests/chain.py
@@ -0,0 +1,190 @@
+"""A chain of hops in one process: real entries and dispatchers, fake hosts."""
+
+import asyncio
+
+import orjson
+from numpy.random import default_rng
+
+from damaskramp.balancing import RoundRobin
+from damaskramp.bundle import (
+    BundleView,
+    SigningKey,
+    parse_bundle_source,
+    sign_bundle,
+)
+from damaskramp.config import NodeSettings, RetrySettings
+from damaskramp.core import (
+    HostId,
+    Outcome,
+    Reason,
+    Section,
+    ServiceName,
+    VirtualTimers,
+    ZoneName,
+)
+from damaskramp.http import HttpRequest
+from damaskramp.membership import Member, MemberTable
+from damaskramp.node.calls import Reply
+from damaskramp.node.contexts import ContextTable
+from damaskramp.node.dispatch import Dispatcher
+from damaskramp.node.entry import Entry
+from damaskramp.node.retrying import RetryAllowances
+from damaskramp.node.telemetry import Telemetry
+from damaskramp.quota import StaticSplit
+from damaskramp.retries import Backoff, HintSpreader
+
+HEAD = """
+[bundle]
+version = 1
+issued = 2026-01-01T00:00:00Z
+zones = ["z1"]
+classes = ["reading"]
+retries = {retries}
+retry_ratio = {ratio}
+"""
+HOP = """
+[[services]]
+name = "s{0}"
+slots = 8
+connections = 100
+backend_servers = 3
+
+[[routes]]
+service = "s{0}"
+prefix = "/s{0}/"
+priority = "reading"
+idempotent = true
+open = true
+timeout_seconds = 1000.0
+"""
+SETTINGS = NodeSettings.model_validate(
+    {
+        "node": {"host": "h", "zone": "z1"},
+        "listen": {
+            "http": "127.0.0.1:1",
+            "peer": "127.0.0.1:2",
+            "admin": "127.0.0.1:3",
+        },
+        "platform": {"address": "127.0.0.1:4"},
+        "trust": {"public_keys": ["00" * 32]},
+    }
+)
+HOSTS = 3
+FAULTS = (
+    Reply.not_run(Reason.OVERLOADED, 0.2),
+    Reply.not_run(Reason.STOPPING),
+    Reply.not_run(Reason.CONNECT_FAILED),
+    Reply.unknown(Reason.ANSWER_LOST),
+    Reply(Outcome.ANSWER, status=500),
+)
+
+
+class Chain:
+    """Hops ``s0`` to ``sN``, each of whose backend servers calls the next.
+
+    A backend server sends a failed call again at once, `eager` times.
+    """
+
+    def __init__(self, hops, seed, faults, eager, retries=2, ratio=0.1):
+        self.attempts = 0
+        self.messages = 0
+        self.timers = VirtualTimers()
+        self._hops = hops
+        self._faults = faults
+        self._eager = eager
+        self._random = default_rng(seed)
+        source = HEAD.format(retries=retries, ratio=ratio)
+        source += "".join(HOP.format(hop) for hop in range(hops))
+        bundle = parse_bundle_source(source, "bundle.toml").ok
+        signed = sign_bundle(bundle, SigningKey(bytes(32)))
+        self._bundle = Section("bundle", BundleView(signed))
+        zone = ZoneName("z1")
+        members = MemberTable(
+            Member(HostId(f"h{hop}-{n}"), zone, "x:1", ServiceName(f"s{hop}"))
+            for hop in range(hops)
+            for n in range(HOSTS)
+        )
+        self._members = Section("members", members)
+        self._contexts = [ContextTable() for _ in range(hops + 1)]
+        # Entry k serves the calls that hop k - 1 makes.
+        self.entries = [self._entry(table) for table in self._contexts]
+
+    def _entry(self, contexts):
+        telemetry = Telemetry(Section("classes", ()))
+        bounds = RetrySettings()
+        backoff = Backoff(bounds, self._random)
+        dispatcher = Dispatcher(
+            HostId("h"),
+            self.timers,
+            bounds,
+            backoff,
+            self._members,
+            RoundRobin(ZoneName("z1")),
+            None,
+            self,
+            telemetry.event,
+        )
+        allowances = RetryAllowances(
+            bounds, self.timers, HintSpreader(bounds, self._random), telemetry.event
+        )
+        return Entry(
+            SETTINGS,
+            self.timers,
+            self._bundle,
+            contexts,
+            StaticSplit(self.timers, ZoneName("z1")),
+            dispatcher,
+            allowances,
+            telemetry,
+        )
+
+    async def send(self, count, headers=()):
+        """Send requests from outside one after another; their statuses."""
+        statuses = []
+        for number in range(count):
+            request = HttpRequest("GET", f"/s0/{number}", headers)
+            answer = await self.entries[0].handle(request)
+            statuses.append(answer.status)
+        return statuses
+
+    async def drive(self, work):
+        """Run `work` while virtual time moves on."""
+        task = asyncio.ensure_future(work)
+        while not task.done():
+            await asyncio.sleep(0)
+            self.timers.advance(0.001)
+        return task.result()
+
+    async def execute(self, member, call):
+        """Run a call on a fake host, in the place of `PeerClient`."""
+        hop = int(call.context.service[1:])
+        self.messages += 1
+        share, fault = self._faults.get(hop, (0.0, None))
+        fails = self._random.random() < share
+        if fails and fault.outcome is Outcome.NOT_RUN:
+            return fault.with_retries(call.context.retries_left)
+        if hop == self._hops - 1:
+            self.attempts += 1
+        contexts = self._contexts[hop + 1]
+        token, running = contexts.issue(call.context)
+        try:
+            status = await self._backend_server(hop, token)
+        finally:
+            contexts.end(token)
+        if fails:
+            left = 0 if fault.outcome is Outcome.UNKNOWN else running.retries_left
+            return fault.with_retries(left)
+        body = orjson.dumps({"hop": hop})
+        reply = Reply(Outcome.ANSWER, status=status, body=body)
+        return reply.with_retries(running.retries_left)
+
+    async def _backend_server(self, hop, token):
+        if hop == self._hops - 1:
+            return 200
+        headers = ((b"damaskramp-context", token.encode()),)
+        request = HttpRequest("GET", f"/s{hop + 1}/x", headers)
+        for _ in range(self._eager + 1):
+            answer = await self.entries[hop + 1].handle(request)
+            if answer.status < 500:
+                return 200
+        return 502
--- /dev/null
+++ b/damaskramp/retries/__init__.py
@@ -0,0 +1,19 @@
+"""How often a request is tried, when, and when its caller should come back."""
+
+from damaskramp.retries.backoff import Backoff, HintSpreader
+from damaskramp.retries.budget import RetryBudgets
+from damaskramp.retries.loop import Decision, RetryLoop, Step, Verdict
+from damaskramp.retries.repeats import RecentFailures, RepeatedCalls, call_digest
+
+__all__ = [
+    "Backoff",
+    "Decision",
+    "HintSpreader",
+    "RecentFailures",
+    "RepeatedCalls",
+    "RetryBudgets",
+    "RetryLoop",
+    "Step",
+    "Verdict",
+    "call_digest",
+]
--- /dev/null
+++ b/damaskramp/retries/tests/test_retries.py
@@ -0,0 +1,144 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from numpy.random import default_rng
+
+from damaskramp.config import RetrySettings
+from damaskramp.core import RequestId, TeamId, VirtualTimers
+from damaskramp.retries import (
+    Backoff,
+    HintSpreader,
+    RecentFailures,
+    RepeatedCalls,
+    RetryBudgets,
+    RetryLoop,
+    Step,
+    Verdict,
+)
+from damaskramp.testing import LoopTestCase
+
+TEAM = TeamId("clubs")
+BOUNDS = RetrySettings()
+
+
+class TestRetryBudgets(LoopTestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.floats(0.0, 1.0),
+        st.integers(0, 10),
+        st.lists(st.sampled_from(["first", "repeat", "return"]), max_size=200),
+    )
+    def test_spent_never_exceeds_ratio_of_first_attempts(self, ratio, limit, steps):
+        budgets = RetryBudgets(BOUNDS)
+        first = 0
+        spent = 0
+        held = []
+        for step in steps:
+            if step == "first":
+                first += 1
+                held.append(budgets.grant(TEAM, ratio, limit))
+                spent += held[-1]
+            elif step == "repeat":
+                spent += budgets.take(TEAM)
+            elif held:
+                unspent = held.pop()
+                budgets.give_back(TEAM, unspent)
+                spent -= unspent
+            self.assertLessEqual(spent, first * ratio + 1e-6)
+
+    def test_teams_do_not_share(self):
+        budgets = RetryBudgets(BOUNDS)
+        for _ in range(10):
+            budgets.grant(TEAM, 0.5, 0)
+        self.assertEqual(0, budgets.grant(TeamId("press"), 0.5, 2))
+        self.assertEqual(2, budgets.grant(TEAM, 0.5, 2))
+
+    def test_saved_retries_are_bounded(self):
+        budgets = RetryBudgets(BOUNDS)
+        for _ in range(10_000):
+            budgets.grant(TEAM, 0.1, 0)
+        taken = sum(budgets.take(TEAM) for _ in range(10_000))
+        self.assertEqual(BOUNDS.burst, taken)
+
+    def test_buckets_of_former_teams_are_dropped(self):
+        budgets = RetryBudgets(BOUNDS)
+        budgets.grant(TEAM, 1.0, 0)
+        budgets.retain(frozenset())
+        self.assertFalse(budgets.take(TEAM))
+
+
+class TestRetryLoop(LoopTestCase):
+    def loop(self, retries):
+        return RetryLoop(BOUNDS, Backoff(BOUNDS, default_rng(1)), retries)
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.integers(0, 10),
+        st.lists(
+            st.tuples(st.sampled_from(list(Verdict)), st.integers(0, 20)), max_size=40
+        ),
+    )
+    def test_attempts_are_bounded(self, retries, attempts):
+        loop = self.loop(retries)
+        further = 0
+        for verdict, unspent in attempts:
+            if loop.after(verdict, unspent, 10.0).step is Step.STOP:
+                break
+            further += 1
+        self.assertLessEqual(further, retries + BOUNDS.redirects)
+
+    def test_hops_below_cannot_renew_the_budget(self):
+        loop = self.loop(1)
+        loop.after(Verdict.RETRIABLE, 100, 10.0)
+        self.assertEqual(0, loop.left)
+
+    def test_nothing_is_tried_past_the_deadline(self):
+        decision = self.loop(5).after(Verdict.ELSEWHERE, 5, 0.0)
+        self.assertEqual(Step.STOP, decision.step)
+
+    def test_wait_that_outlasts_the_deadline_is_not_begun(self):
+        loop = self.loop(10)
+        while loop.after(Verdict.RETRIABLE, 10, 1e-4).step is not Step.STOP:
+            pass
+        self.assertGreater(loop.left, 0)
+
+
+class TestSpread(LoopTestCase):
+    def test_waits_grow_up_to_their_limit(self):
+        backoff = Backoff(BOUNDS, default_rng(1))
+        early = max(backoff.wait(0) for _ in range(500))
+        late = max(backoff.wait(20) for _ in range(500))
+        self.assertLessEqual(early, BOUNDS.backoff_seconds)
+        self.assertLessEqual(late, BOUNDS.backoff_limit_seconds)
+        self.assertGreater(late, 0.9 * BOUNDS.backoff_limit_seconds)
+
+    def test_hints_differ_and_never_come_early(self):
+        hints = HintSpreader(BOUNDS, default_rng(1))
+        spread = [hints.spread(0.2) for _ in range(500)]
+        self.assertGreaterEqual(min(spread), 0.2)
+        self.assertGreater(max(spread) - min(spread), 1.5)
+        self.assertEqual(0.0, hints.spread(0.0))
+
+
+class TestRepeats(LoopTestCase):
+    def test_hedge_beside_a_running_call_is_a_repeat(self):
+        calls = RepeatedCalls()
+        calls.begin(b"a")
+        self.assertTrue(calls.is_repeat(b"a"))
+        self.assertFalse(calls.is_repeat(b"b"))
+
+    def test_call_after_a_success_is_none(self):
+        calls = RepeatedCalls()
+        calls.begin(b"a")
+        calls.end(b"a", failed=False)
+        self.assertFalse(calls.is_repeat(b"a"))
+
+    def test_failures_are_forgotten_in_time_and_number(self):
+        timers = VirtualTimers()
+        failures = RecentFailures(timers)
+        for number in range(20_000):
+            failures.add(TEAM, RequestId(str(number)))
+        self.assertLess(len(failures), 10_000)
+        self.assertTrue(failures.holds(TEAM, RequestId("19999")))
+        self.assertFalse(failures.holds(TeamId("press"), RequestId("19999")))
+        timers.advance(61.0)
+        self.assertFalse(failures.holds(TEAM, RequestId("19999")))
