Test that a lost caller and a passed deadline cancel the whole chain

Cause: not proved with real processes. Ruled out: fakes, which would not show that a connection is closed. Change: three hosts in a chain; each backend server counts what was cancelled. Conclusion: cancellation reaches the deepest backend server.

--- a/damaskramp/node/tests/chain.py
+++ b/damaskramp/node/tests/chain.py
@@ -70,11 +70,13 @@
     }
 )
 HOSTS = 3
+BACKEND_LOST = "the node answered that its backend server did not"
 FAULTS = (
     Reply.not_run(Reason.OVERLOADED, 0.2),
     Reply.not_run(Reason.STOPPING),
     Reply.not_run(Reason.CONNECT_FAILED),
     Reply.unknown(Reason.ANSWER_LOST),
+    Reply.unknown(Reason.ANSWER_LOST, BACKEND_LOST),
     Reply(Outcome.ANSWER, status=500),
 )
 
@@ -172,7 +174,8 @@
         finally:
             contexts.end(token)
         if fails:
-            left = 0 if fault.outcome is Outcome.UNKNOWN else running.retries_left
+            node_lost = fault.outcome is Outcome.UNKNOWN and not fault.detail
+            left = 0 if node_lost else running.retries_left
             return fault.with_retries(left)
         body = orjson.dumps({"hop": hop})
         reply = Reply(Outcome.ANSWER, status=status, body=body)
--- a/damaskramp/node/tests/test_retry_chain.py
+++ b/damaskramp/node/tests/test_retry_chain.py
@@ -15,7 +15,8 @@
 REQUESTS = 40
 SHED = FAULTS[0]
 LOST = FAULTS[3]
-BROKEN = FAULTS[4]
+BACKEND_LOST = FAULTS[4]
+BROKEN = FAULTS[5]
 
 
 class TestRetryChain(LoopTestCase):
@@ -29,7 +30,7 @@
         self.assertLessEqual(chain.attempts, TARGET * REQUESTS)
 
     def test_lost_answers_of_the_deepest_service(self):
-        chain = self.run_chain({HOPS - 1: (1.0, LOST)}, retries=10)
+        chain = self.run_chain({HOPS - 1: (1.0, BACKEND_LOST)}, retries=10)
         self.assertLessEqual(chain.attempts, TARGET * REQUESTS)
 
     def test_lost_answers_at_every_hop(self):
--- /dev/null
+++ b/tests/test_cancellation.py
@@ -0,0 +1,87 @@
+"""Cancellation and deadlines down a chain of real processes."""
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+
+from damaskramp.http import HttpClient, HttpRequest
+from damaskramp.testing import LoopTestCase
+from examples.fleet import Fleet, HostSpec
+
+SERVICES = ("desk", "board", "vault")
+BUNDLE = """
+[bundle]
+version = 1
+issued = 2026-01-01T00:00:00Z
+zones = ["z1", "z2", "z3"]
+classes = ["reading"]
+""" + "".join(
+    f"""
+[[services]]
+name = "{name}"
+slots = 8
+connections = 100
+backend_servers = 1
+
+[[routes]]
+service = "{name}"
+prefix = "/{name}"
+priority = "reading"
+idempotent = true
+open = true
+timeout_seconds = 60.0
+"""
+    for name in SERVICES
+)
+SLOW = 60_000.0
+SEEN_SECONDS = 20.0
+
+
+class TestCancellation(LoopTestCase):
+    def setUp(self):
+        super().setUp()
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        calls = {"desk": ("GET /board/x",), "board": ("GET /vault/x",), "vault": ()}
+        hosts = [
+            HostSpec(f"{name}-1", f"z{n}", name, {"service_ms": 1}, calls[name])
+            for n, name in enumerate(SERVICES, start=1)
+        ]
+        self.fleet = Fleet(Path(directory), hosts, BUNDLE)
+        self.enterContext(self.fleet)
+        self.fleet.tune("vault-1", SLOW)
+
+    def send(self, timeout, headers=()):
+        """Call the chain from a node that serves none of it but the vault."""
+        address, _, port = self.fleet.http("vault-1").rpartition(":")
+        request = HttpRequest("GET", "/desk/x", headers)
+
+        async def call():
+            client = HttpClient(address, int(port))
+            work = asyncio.ensure_future(client.request(request, timeout))
+            while not self.fleet.records("vault-1")["started"]:
+                await asyncio.sleep(0.05)
+            return await work
+
+        return self.run_loop(call())
+
+    def cancelled(self):
+        return [self.fleet.records(f"{name}-1")["cancelled"] for name in SERVICES]
+
+    def assert_cancelled_everywhere(self):
+        end = time.monotonic() + SEEN_SECONDS
+        while self.cancelled() != [1, 1, 1] and time.monotonic() < end:
+            time.sleep(0.05)
+        self.assertEqual([1, 1, 1], self.cancelled())
+
+    def test_caller_that_goes_away_cancels_the_whole_chain(self):
+        answer = self.send(timeout=2.0)
+        self.assertTrue(answer.is_error())
+        self.assert_cancelled_everywhere()
+
+    def test_deadline_cancels_the_whole_chain(self):
+        answer = self.send(30.0, ((b"damaskramp-timeout-ms", b"2000"),))
+        self.assertEqual(b"unknown", answer.ok.value(b"damaskramp-outcome"))
+        reason = answer.ok.value(b"damaskramp-reason")
+        self.assertEqual(b"deadline_exceeded", reason)
+        self.assert_cancelled_everywhere()
