--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -29,8 +29,10 @@
 from damaskramp.node.execution import Executor
 from damaskramp.node.host_watch import HostWatch
 from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
+from damaskramp.node.responses import refuse_unreadable
 from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
@@ -95,6 +97,7 @@
         classes: tuple[str, ...] = ()
         self._classes = board.create("classes", classes)
         self._telemetry = Telemetry(self._classes)
+        self._objectives = ObjectiveKeeper(self._timers, self._bundle)
 
     def _build_clients(self) -> None:
         settings = self._settings
@@ -151,6 +154,7 @@
             self._dispatcher,
             allowances,
             self._telemetry,
+            self._objectives,
         )
 
     def _build_servers(self) -> None:
@@ -162,8 +166,8 @@
             limits.header_seconds,
             limits.idle_seconds,
         )
-        self._http = HttpServer(bounds, self._entry.handle)
-        admin = Admin(self._telemetry, self.status)
+        self._http = HttpServer(bounds, self._entry.handle, refuse_unreadable)
+        admin = Admin(self._telemetry, self.status, self._objectives.document)
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -27,6 +27,7 @@
     end_to_end,
     strip_private,
 )
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.responses import to_http
 from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
@@ -69,6 +70,8 @@
         Retries that calls set out with.
     telemetry : Telemetry
         Counters.
+    objectives : ObjectiveKeeper
+        Service-level indicators.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         dispatcher: Dispatcher,
         allowances: RetryAllowances,
         telemetry: Telemetry,
+        objectives: ObjectiveKeeper,
     ) -> None:
         self._settings = settings
         self._timers = timers
@@ -90,6 +94,7 @@
         self._dispatcher = dispatcher
         self._allowances = allowances
         self._telemetry = telemetry
+        self._objectives = objectives
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -100,7 +105,9 @@
             return to_http(prepared.error)
         arrival, call = prepared.ok
         reply = self._allowances.with_spread_hint(await self._run(arrival, call))
-        self._telemetry.answered(call.context, reply, self._timers.now - started)
+        seconds = self._timers.now - started
+        self._telemetry.answered(call.context, reply, seconds)
+        self._objectives.observe(call.context, reply, seconds)
         return to_http(reply, call.context.request_id)
 
     def _arrive(self, request: HttpRequest, started: float) -> Result[_Arrival, Reply]:
