--- a/damaskramp/node/tests/chain.py
+++ b/damaskramp/node/tests/chain.py
@@ -28,6 +28,7 @@
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.entry import Entry
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.quota import StaticSplit
@@ -138,6 +139,7 @@
             dispatcher,
             allowances,
             telemetry,
+            ObjectiveKeeper(self.timers, self._bundle),
         )
 
     async def send(self, count, headers=()):
