Contain requests that end the backend servers running them

Cause: a poison request sent again under new ids, or tried again by the system itself, ended one backend server after another. Ruled out: one suspect alone on a drained backend server, which costs its whole capacity; counting deaths by time of arrival, which counts one death twice where clocks differ; a quarantine by time stamps of last change, which depends on the order of the news. Change: damaskramp.quarantine (set of deaths and successes, lane, items for the broadcast) wired into execution and dispatch; suspects go to one host by rendezvous and run there one at a time; a reply names the death.

--- a/damaskramp/core/outcomes.py
+++ b/damaskramp/core/outcomes.py
@@ -40,6 +40,7 @@
     QUARANTINED = "quarantined"
     CONNECT_FAILED = "connect_failed"
     ANSWER_LOST = "answer_lost"
+    BACKEND_SERVER_LOST = "backend_server_lost"
     REQUEST_CONFLICT = "request_conflict"
     REQUEST_RUNNING = "request_running"
     HISTORY_LOST = "history_lost"
--- a/damaskramp/http/client.py
+++ b/damaskramp/http/client.py
@@ -142,6 +142,21 @@
             raise
         return Ok(response)
 
+    async def reachable(self, timeout: float) -> bool:
+        """Whether the server takes a connection; False only where it refuses.
+
+        A server that does not answer in `timeout` seconds may be overloaded.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                connection = await self._connect()
+        except ConnectionRefusedError:
+            return False
+        except (OSError, TimeoutError):
+            return True
+        connection.close()
+        return True
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -19,9 +19,10 @@
     host_generator,
 )
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
-from damaskramp.membership import MemberTable
+from damaskramp.membership import LocalBroadcast, MemberTable
 from damaskramp.node.admin import Admin
 from damaskramp.node.bundle_watch import BundleWatch
+from damaskramp.node.containment import Containment
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.drain import GracefulDrain
@@ -36,6 +37,7 @@
 from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
+from damaskramp.quarantine import Quarantine, Standing
 from damaskramp.quota import StaticSplit
 from damaskramp.retries import Backoff, HintSpreader
 
@@ -46,6 +48,7 @@
 DEFAULT_SLOTS = 64
 MICROSECONDS = 1_000_000
 ADMIN_CONNECTIONS = 64
+EXPIRE_SECONDS = 30.0
 
 
 class Node:
@@ -113,6 +116,15 @@
         self._contexts = ContextTable()
         self._admission = FixedAdmission(DEFAULT_SLOTS)
         self._limiter = StaticSplit(self._timers, zone)
+        own = HostId(settings.node.host)
+        self._quarantine = Quarantine(
+            settings.quarantine,
+            self._timers,
+            own,
+            zone,
+            LocalBroadcast(),
+            self._telemetry.event,
+        )
         self._executor = Executor(
             settings,
             self._timers,
@@ -121,10 +133,16 @@
             self._admission,
             self._backend,
             self._contexts,
+            Containment(
+                settings.quarantine,
+                self._timers,
+                self._quarantine,
+                self._backend,
+                self._telemetry.event,
+            ),
             self._telemetry,
         )
-        own = HostId(settings.node.host)
-        balancer = ObservedBalancer(
+        self._balancer = ObservedBalancer(
             settings.balancing, self._timers, own, zone, self._telemetry.event
         )
         generator = host_generator(settings.retries.seed, own)
@@ -134,9 +152,10 @@
             settings.retries,
             Backoff(settings.retries, generator),
             self._members,
-            balancer,
+            self._balancer,
             self._executor,
             PeerClient(self._timers, self._pool),
+            self._quarantine,
             self._telemetry.event,
         )
         allowances = RetryAllowances(
@@ -188,6 +207,7 @@
         await self._http.start(*_split(listen.http))
         self._spawn(self._watch_bundle().run())
         self._spawn(self._watch_hosts().run())
+        self._timers.every(EXPIRE_SECONDS, self._quarantine.expire)
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
         LOGGER.info("started", extra=fields)
 
@@ -228,6 +248,11 @@
                 "limit": load.limit,
                 "queued": load.queued,
             },
+            "quarantine": {
+                "suspects": self._quarantine.count(Standing.SUSPECT),
+                "quarantined": self._quarantine.count(Standing.QUARANTINED),
+            },
+            "ejected": sorted(self._balancer.ejected),
         }
 
     def _watch_bundle(self) -> BundleWatch:
--- a/damaskramp/node/calls.py
+++ b/damaskramp/node/calls.py
@@ -40,6 +40,8 @@
         Hops before this one.
     attempt : int
         0 for the first attempt of this hop.
+    deaths : int
+        Backend servers known to have died while running this request.
     """
 
     request_id: RequestId
@@ -56,6 +58,7 @@
     entry_host: HostId
     entry_zone: ZoneName
     attempt: int = 0
+    deaths: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +83,9 @@
         Seconds until another try is worth its while, 0 for no hint.
     load : Load or None
         State of the backend server that was asked.
+    death_ms : int
+        When that backend server died, in milliseconds since the epoch by the clock
+        of its host; 0 where it has not.
     """
 
     outcome: Outcome
@@ -91,6 +97,7 @@
     retries_left: int = 0
     retry_after: float = 0.0
     load: Load | None = None
+    death_ms: int = 0
     detail: str = ""
 
     @classmethod
--- a/damaskramp/node/codec.py
+++ b/damaskramp/node/codec.py
@@ -49,6 +49,7 @@
             entry_host=context.entry_host,
             entry_zone=context.entry_zone,
             attempt=context.attempt,
+            deaths=context.deaths,
         ),
         method=call.request.method,
         target=call.request.target,
@@ -82,6 +83,7 @@
             entry_host=HostId(context.entry_host),
             entry_zone=ZoneName(context.entry_zone),
             attempt=context.attempt,
+            deaths=context.deaths,
         ),
         request,
     )
@@ -98,6 +100,7 @@
         more=reply.tail is not None,
         retries_left=reply.retries_left,
         retry_after_ms=int(reply.retry_after * 1000),
+        death_ms=reply.death_ms,
     )
     if reply.load is not None:
         head.load.in_flight = reply.load.in_flight
@@ -131,6 +134,7 @@
         retries_left=head.retries_left,
         retry_after=head.retry_after_ms / 1000,
         load=load,
+        death_ms=head.death_ms,
     )
 
 
--- a/damaskramp/node/dispatch.py
+++ b/damaskramp/node/dispatch.py
@@ -11,6 +11,8 @@
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.execution import Executor
 from damaskramp.node.peers import PeerClient
+from damaskramp.node.suspicion import CallSuspicion
+from damaskramp.quarantine import Quarantine
 from damaskramp.retries import Backoff, RetryLoop, Step, Verdict
 
 __all__ = ["Dispatcher"]
@@ -48,6 +50,8 @@
         Execution on this host.
     peers : PeerClient
         Execution on other hosts.
+    quarantine : Quarantine
+        Standing of requests.
     event : callable
         Told the name of each retry and redirect, for counters.
     """
@@ -62,6 +66,7 @@
         balancer: LoadBalancer,
         executor: Executor,
         peers: PeerClient,
+        quarantine: Quarantine,
         event: Callable[[str], None],
     ) -> None:
         self._own = own
@@ -70,6 +75,7 @@
         self._balancer = balancer
         self._executor = executor
         self._peers = peers
+        self._quarantine = quarantine
         self._settings = settings
         self._backoff = backoff
         self._event = event
@@ -79,17 +85,28 @@
         retries = call.context.retries_left
         loop = RetryLoop(self._settings, self._backoff, retries)
         reply = Reply.not_run(Reason.NO_BACKEND_SERVER, 1.0)
+        suspicion = CallSuspicion(self._quarantine, call)
         tried: set[HostId] = set()
         may_have_run = False
         while True:
+            if suspicion.quarantined:
+                reply = Reply.not_run(Reason.QUARANTINED)
+                break
             members = self._members.value.serving(call.context.service)
-            member = self._balancer.choose(members, tried)
+            avoid = suspicion.avoid(members, tried)
+            choose = self._balancer.choose
+            member = choose(members, avoid) or choose(members, tried)
             if member is None:
                 break
-            attempt = len(tried)
+            context = replace(
+                call.context,
+                retries_left=loop.left,
+                attempt=len(tried),
+                deaths=suspicion.deaths,
+            )
             tried.add(member.host)
-            context = replace(call.context, retries_left=loop.left, attempt=attempt)
             reply = await self._attempt(member, replace(call, context=context))
+            suspicion.learn(member.host, reply)
             may_have_run |= reply.outcome is Outcome.UNKNOWN
             remaining = call.context.deadline - self._timers.now
             verdict = _verdict(call, reply)
--- a/damaskramp/node/execution.py
+++ b/damaskramp/node/execution.py
@@ -11,6 +11,7 @@
 from damaskramp.http import HttpClient, HttpRequest, HttpResponse, TransportError
 from damaskramp.http import TransportErrorKind as Kind
 from damaskramp.node.calls import Call, CallContext, Reply
+from damaskramp.node.containment import Containment
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.fields import CONTEXT, PRIORITY, REQUEST_ID, TEAM, TIMEOUT_MS
 from damaskramp.node.lifecycle import Lifecycle
@@ -38,6 +39,8 @@
         Client of the backend server.
     contexts : ContextTable
         Tokens of running calls.
+    containment : Containment
+        Keeping suspects apart.
     telemetry : Telemetry
         Counters.
     """
@@ -51,6 +54,7 @@
         admission: AdmissionController,
         backend: HttpClient,
         contexts: ContextTable,
+        containment: Containment,
         telemetry: Telemetry,
     ) -> None:
         self._settings = settings
@@ -60,6 +64,7 @@
         self._admission = admission
         self._backend = backend
         self._contexts = contexts
+        self._containment = containment
         self._telemetry = telemetry
 
     @property
@@ -71,7 +76,7 @@
         """Run a call, or say why it did not run."""
         reply = self._check(call.context)
         if reply is None:
-            reply = await self._admitted(call)
+            reply = await self._containment.run(call, self._admitted)
         self._telemetry.executed(call.context, reply)
         return reply.with_load(self._load())
 
@@ -130,12 +135,17 @@
         token, running = self._contexts.issue(context)
         try:
             request = _backend_request(call, token, remaining)
-            answer = await self._backend.request(request, remaining)
+            work = self._exchange(context, request, remaining)
+            reply = await self._containment.release(call, work)
         finally:
             self._contexts.end(token)
-        reply = self._judge(context, answer)
         return reply.with_retries(running.retries_left)
 
+    async def _exchange(
+        self, context: CallContext, request: HttpRequest, remaining: float
+    ) -> Reply:
+        return self._judge(context, await self._backend.request(request, remaining))
+
     def _judge(
         self, context: CallContext, answer: Result[HttpResponse, TransportError]
     ) -> Reply:
--- a/damaskramp/node/retrying.py
+++ b/damaskramp/node/retrying.py
@@ -71,7 +71,7 @@
         self._budgets.give_back(context.team, min(granted, reply.retries_left))
         if id_stated:
             self._remember(call, reply)
-        return reply
+        return _told(reply, id_stated)
 
     async def run_nested(
         self,
@@ -94,7 +94,7 @@
             failed = _failed(reply)
         finally:
             parent.end_call(digest, failed, min(lent, unspent))
-        return reply
+        return _told(reply, id_stated)
 
     def with_spread_hint(self, reply: Reply) -> Reply:
         """Reply whose hint differs from that of others refused with it."""
@@ -122,6 +122,16 @@
     return replace(call, context=replace(call.context, retries_left=retries))
 
 
+def _told(reply: Reply, id_stated: bool) -> Reply:
+    """Reply for the request id: one that the caller stated may have run before.
+
+    A quarantined request has run somewhere; only a new id is known not to be its.
+    """
+    if id_stated and reply.reason is Reason.QUARANTINED:
+        return replace(reply, outcome=Outcome.UNKNOWN)
+    return reply
+
+
 def _failed(reply: Reply) -> bool:
     if reply.outcome is not Outcome.ANSWER:
         return True
--- a/damaskramp/node/tests/chain.py
+++ b/damaskramp/node/tests/chain.py
@@ -12,7 +12,7 @@
     parse_bundle_source,
     sign_bundle,
 )
-from damaskramp.config import NodeSettings, RetrySettings
+from damaskramp.config import NodeSettings, QuarantineSettings, RetrySettings
 from damaskramp.core import (
     HostId,
     Outcome,
@@ -23,7 +23,7 @@
     ZoneName,
 )
 from damaskramp.http import HttpRequest
-from damaskramp.membership import Member, MemberTable
+from damaskramp.membership import LocalBroadcast, Member, MemberTable
 from damaskramp.node.calls import Reply
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
@@ -31,6 +31,7 @@
 from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
+from damaskramp.quarantine import Quarantine
 from damaskramp.quota import StaticSplit
 from damaskramp.retries import Backoff, HintSpreader
 
@@ -116,6 +117,13 @@
         telemetry = Telemetry(Section("classes", ()))
         bounds = RetrySettings()
         backoff = Backoff(bounds, self._random)
+        quarantine = Quarantine(
+            QuarantineSettings(),
+            self.timers,
+            HostId("h"),
+            ZoneName("z1"),
+            LocalBroadcast(),
+        )
         dispatcher = Dispatcher(
             HostId("h"),
             self.timers,
@@ -125,6 +133,7 @@
             RoundRobin(ZoneName("z1")),
             None,
             self,
+            quarantine,
             telemetry.event,
         )
         allowances = RetryAllowances(
--- /dev/null
+++ b/damaskramp/quarantine/__init__.py
@@ -0,0 +1,20 @@
+"""Containment of requests that end the backend servers running them."""
+
+from damaskramp.quarantine.fingerprint import Fingerprint, fingerprint
+from damaskramp.quarantine.ledger import Death, DeathLedger, Standing
+from damaskramp.quarantine.messages import Observation, decode, encode
+from damaskramp.quarantine.quarantine import Quarantine
+from damaskramp.quarantine.running import RunningCalls
+
+__all__ = [
+    "Death",
+    "DeathLedger",
+    "Fingerprint",
+    "Observation",
+    "Quarantine",
+    "RunningCalls",
+    "Standing",
+    "decode",
+    "encode",
+    "fingerprint",
+]
--- /dev/null
+++ b/damaskramp/quarantine/running.py
@@ -0,0 +1,62 @@
+"""Calls on a backend server, and which of them broke at once."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+__all__ = ["RunningCalls"]
+
+
+@dataclass(slots=True, eq=False)
+class _Running:
+    call: object
+    broken: bool = False
+
+
+class RunningCalls:
+    """Calls that a backend server is running, in order of their start.
+
+    Examples
+    --------
+    >>> calls = RunningCalls()
+    >>> first, second = calls.begin("a"), calls.begin("b")
+    >>> calls.break_off(first)
+    >>> calls.all_broken
+    False
+    >>> calls.break_off(second)
+    >>> calls.all_broken, calls.broken(newest=1)
+    (True, ['b'])
+    """
+
+    def __init__(self) -> None:
+        self._running: dict[_Running, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    @property
+    def all_broken(self) -> bool:
+        """Whether several calls broke and none of the older ones goes on."""
+        broken = [entry.broken for entry in self._running]
+        if broken.count(True) < 2:
+            return False
+        last = len(broken) - broken[::-1].index(True)
+        return all(broken[:last])
+
+    def begin(self, call: object) -> _Running:
+        """Record a call that is sent to the backend server."""
+        entry = _Running(call)
+        self._running[entry] = None
+        return entry
+
+    def break_off(self, entry: _Running) -> None:
+        """Record that the connection of a call broke; it stays until `end`."""
+        entry.broken = True
+
+    def end(self, entry: _Running) -> None:
+        """Forget a call."""
+        self._running.pop(entry, None)
+
+    def broken(self, newest: int) -> list[object]:
+        """Calls that broke, the newest first, at most so many."""
+        entries: Iterable[_Running] = reversed(self._running)
+        return [entry.call for entry in entries if entry.broken][:newest]
--- /dev/null
+++ b/damaskramp/quarantine/tests/test_quarantine.py
@@ -0,0 +1,212 @@
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damaskramp.config import QuarantineSettings
+from damaskramp.core import HostId, TeamId, VirtualTimers, ZoneName
+from damaskramp.membership import Broadcast, Item
+from damaskramp.quarantine import (
+    Death,
+    DeathLedger,
+    Observation,
+    Quarantine,
+    RunningCalls,
+    Standing,
+    decode,
+    encode,
+    fingerprint,
+)
+from damaskramp.testing import LoopTestCase
+
+BOUNDS = QuarantineSettings()
+ITEM = fingerprint(TeamId("clubs"), "/desk", "POST", "/desk", b"poison")
+OTHER = fingerprint(TeamId("clubs"), "/desk", "POST", "/desk", b"other")
+ZONE = ZoneName("z1")
+NOW = 1_700_000_000_000
+
+
+class TestDeathLedger(LoopTestCase):
+    def ledger(self, *facts):
+        ledger = DeathLedger(BOUNDS)
+        for fact in facts:
+            if isinstance(fact, Death):
+                ledger.add_death(ITEM, fact)
+            else:
+                ledger.add_success(ITEM, fact)
+        return ledger
+
+    def test_second_death_quarantines(self):
+        ledger = self.ledger(Death(HostId("a"), NOW))
+        self.assertEqual(Standing.SUSPECT, ledger.standing(ITEM, NOW))
+        ledger.add_death(ITEM, Death(HostId("b"), NOW + 1))
+        self.assertEqual(Standing.QUARANTINED, ledger.standing(ITEM, NOW + 1))
+        self.assertEqual(Standing.CLEAR, ledger.standing(OTHER, NOW + 1))
+
+    def test_one_death_told_twice_counts_once(self):
+        ledger = self.ledger(Death(HostId("a"), NOW), Death(HostId("a"), NOW + 30))
+        self.assertEqual(Standing.SUSPECT, ledger.standing(ITEM, NOW + 40))
+
+    def test_later_death_of_the_same_host_counts(self):
+        ledger = self.ledger(Death(HostId("a"), NOW), Death(HostId("a"), NOW + 5000))
+        self.assertEqual(Standing.QUARANTINED, ledger.standing(ITEM, NOW + 5000))
+
+    def test_success_clears_what_came_before_it(self):
+        ledger = self.ledger(Death(HostId("a"), NOW), NOW + 5)
+        self.assertEqual(Standing.CLEAR, ledger.standing(ITEM, NOW + 6))
+        ledger.add_death(ITEM, Death(HostId("b"), NOW + 10))
+        self.assertEqual(Standing.SUSPECT, ledger.standing(ITEM, NOW + 10))
+
+    def test_standings_end_in_their_time(self):
+        suspect = self.ledger(Death(HostId("a"), NOW))
+        later = NOW + int(BOUNDS.suspect_seconds * 1000)
+        self.assertEqual(Standing.SUSPECT, suspect.standing(ITEM, later - 1))
+        self.assertEqual(Standing.CLEAR, suspect.standing(ITEM, later))
+        held = self.ledger(Death(HostId("a"), NOW), Death(HostId("b"), NOW))
+        later = NOW + int(BOUNDS.quarantine_seconds * 1000)
+        self.assertEqual(Standing.QUARANTINED, held.standing(ITEM, later - 1))
+        self.assertEqual(Standing.CLEAR, held.standing(ITEM, later))
+        held.expire(later)
+        self.assertEqual(0, len(held))
+
+    def test_memory_is_bounded(self):
+        ledger = DeathLedger(BOUNDS)
+        for number in range(3 * BOUNDS.suspects):
+            ledger.add_death(number, Death(HostId("a"), NOW))
+        self.assertEqual(BOUNDS.suspects, len(ledger))
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(st.data())
+    def test_order_and_repetition_do_not_matter(self, data):
+        moments = st.integers(NOW, NOW + 20_000)
+        deaths = st.builds(Death, st.sampled_from("abc").map(HostId), moments)
+        facts = data.draw(st.lists(st.one_of(deaths, moments), max_size=12))
+        other = data.draw(st.permutations(facts + facts[: len(facts) // 2]))
+        now = NOW + data.draw(st.integers(0, 1_000_000))
+        self.assertEqual(
+            self.ledger(*facts).standing(ITEM, now),
+            self.ledger(*other).standing(ITEM, now),
+        )
+
+
+class Fabric:
+    """Broadcasts of several hosts, joined at once."""
+
+    def __init__(self):
+        self.ends = []
+        self.items = []
+
+    def spread(self, item):
+        self.items.append(item)
+        for end in self.ends:
+            if end.host != item.origin:
+                end.deliver(item)
+
+
+class FabricBroadcast(Broadcast):
+    def __init__(self, fabric, host):
+        super().__init__()
+        self.host = host
+        self._fabric = fabric
+        fabric.ends.append(self)
+
+    def announce(self, topic, key, version, payload):
+        self._fabric.spread(Item(topic, key, version, payload, self.host))
+
+
+class TestQuarantine(LoopTestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimers()
+        self.fabric = Fabric()
+
+    def node(self, host, zone=ZONE):
+        broadcast = FabricBroadcast(self.fabric, HostId(host))
+        return Quarantine(BOUNDS, self.timers, HostId(host), zone, broadcast)
+
+    def test_death_is_known_in_the_zone_and_only_there(self):
+        one, two, far = self.node("a"), self.node("b"), self.node("c", ZoneName("z2"))
+        one.record_death([ITEM])
+        self.assertEqual(Standing.SUSPECT, two.standing(ITEM))
+        self.assertFalse(far.watching)
+        two.record_death([ITEM])
+        for node in (one, two):
+            self.assertEqual(Standing.QUARANTINED, node.standing(ITEM))
+
+    def test_own_word_and_a_reply_of_one_death_count_once(self):
+        one, entry = self.node("a"), self.node("b")
+        death_ms = one.record_death([ITEM])
+        entry.record_death_elsewhere(ITEM, Death(HostId("a"), death_ms))
+        self.assertEqual(1, entry.deaths(ITEM))
+
+    def test_success_clears_in_the_zone(self):
+        one, two = self.node("a"), self.node("b")
+        one.record_death([ITEM])
+        self.timers.advance(1.0)
+        two.record_success(ITEM)
+        self.assertEqual(Standing.CLEAR, two.standing(ITEM))
+        self.timers.advance(1.0)
+        self.assertEqual(Standing.CLEAR, one.standing(ITEM))
+
+    def test_word_that_a_call_brings_counts_without_the_broadcast(self):
+        node = self.node("a")
+        self.assertEqual(Standing.SUSPECT, node.standing(ITEM, deaths=1))
+        self.assertEqual(Standing.QUARANTINED, node.standing(ITEM, deaths=2))
+
+    def test_items_are_small_and_few(self):
+        node = self.node("a")
+        node.record_death(list(range(BOUNDS.suspects_per_death)))
+        self.assertLessEqual(len(self.fabric.items), 6)
+        sizes = [len(item.payload) for item in self.fabric.items]
+        self.assertLessEqual(max(sizes), 300)
+        for _ in range(100):
+            node.record_death([ITEM])
+        self.assertLessEqual(len({item.key for item in self.fabric.items}), 32)
+        versions = [item.version for item in self.fabric.items]
+        self.assertEqual(sorted(set(versions)), versions)
+
+    def test_unreadable_item_is_ignored(self):
+        node = self.node("a")
+        for end in self.fabric.ends:
+            end.deliver(Item(None, "k", 1, b"\xff", HostId("b")))
+        node._receive(Item(None, "k", 1, b"\xff", HostId("b")))
+        self.assertFalse(node.watching)
+
+    def test_lane_holds_one(self):
+        async def use():
+            node = self.node("a")
+            await node.lane.acquire()
+            waiting = asyncio.ensure_future(node.lane.acquire())
+            await asyncio.sleep(0)
+            self.assertFalse(waiting.done())
+            node.lane.release()
+            await waiting
+
+        self.run_loop(use())
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.integers(0, 2**63), st.booleans(), st.lists(st.integers(0, 2**64 - 1)))
+    def test_observations_survive_the_wire(self, at_ms, succeeded, items):
+        sent = Observation(ZONE, HostId("a"), at_ms, succeeded, tuple(items))
+        self.assertEqual(sent, decode(encode(sent)).ok)
+
+
+class TestRunningCalls(LoopTestCase):
+    def test_one_broken_connection_is_no_death(self):
+        calls = RunningCalls()
+        calls.break_off(calls.begin("a"))
+        self.assertFalse(calls.all_broken)
+
+    def test_older_call_that_goes_on_speaks_against_a_death(self):
+        calls = RunningCalls()
+        calls.begin("a")
+        calls.break_off(calls.begin("b"))
+        calls.break_off(calls.begin("c"))
+        self.assertFalse(calls.all_broken)
+
+    def test_younger_call_may_run_on_the_next_process(self):
+        calls = RunningCalls()
+        calls.break_off(calls.begin("a"))
+        calls.break_off(calls.begin("b"))
+        calls.begin("c")
+        self.assertTrue(calls.all_broken)
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,104 @@
+"""Requests that end the backend server that runs them, with real processes."""
+
+import asyncio
+
+from tests.fleets import FleetTestCase, bundle, desk_and_boards, send
+
+BOARDS = 4
+HOSTS = [f"board-{number}" for number in range(1, BOARDS + 1)]
+LOST_AT_MOST = 2
+"""Backend servers that one poison request may end, as docs/design/quarantine.md."""
+
+REASON = b"damaskramp-reason"
+OUTCOME = b"damaskramp-outcome"
+
+
+class PoisonTestCase(FleetTestCase):
+    HOSTS = desk_and_boards(BOARDS, service_ms=300)
+    BUNDLE = bundle(head="retries = 2\nretry_ratio = 1.0")
+
+    def dead(self):
+        return [h for h in HOSTS if not self.fleet.backend_process(h).running]
+
+    def revive(self):
+        """Restart what has died; the number of deaths."""
+        dead = self.dead()
+        for host in dead:
+            self.fleet.start_backend(host)
+        for host in dead:
+            self.eventually(lambda host=host: self.answers(host))
+        return len(dead)
+
+    def answers(self, host):
+        try:
+            self.fleet.records(host)
+        except OSError:
+            return False
+        return True
+
+    def poison(self, target, body):
+        answer = self.call("desk-1", target, method="POST", body=body)
+        return answer, self.revive()
+
+
+class TestPoison(PoisonTestCase):
+    def test_repeats_under_new_ids(self):
+        deaths = 0
+        for _ in range(8):
+            answer, died = self.poison("/board/ballots", b"poison one")
+            deaths += died
+        self.assertGreaterEqual(deaths, 1)
+        self.assertLessEqual(deaths, LOST_AT_MOST)
+        self.assertEqual(422, answer.status)
+        self.assertEqual(b"quarantined", answer.value(REASON))
+        # This id was made for a request that was refused at once.
+        self.assertEqual(b"not-run", answer.value(OUTCOME))
+
+    def test_retries_of_the_system_itself(self):
+        answer, deaths = self.poison("/board/notes", b"poison two")
+        self.assertLessEqual(deaths, LOST_AT_MOST)
+        self.assertEqual(b"unknown", answer.value(OUTCOME))
+        answer, deaths = self.poison("/board/notes", b"poison two")
+        self.assertEqual(b"unknown" if deaths else b"not-run", answer.value(OUTCOME))
+
+    def test_repeat_under_the_same_id_is_never_told_as_not_run(self):
+        header = ((b"idempotency-key", b"ballot-7"),)
+        outcomes = set()
+        for _ in range(4):
+            answer = self.call(
+                "desk-1",
+                "/board/ballots",
+                method="POST",
+                body=b"poison three",
+                headers=header,
+            )
+            self.revive()
+            outcomes.add(answer.value(OUTCOME))
+        self.assertEqual({b"unknown"}, outcomes)
+
+    def test_other_requests_of_the_team_go_on(self):
+        for _ in range(3):
+            self.poison("/board/ballots", b"poison four")
+        answer, _ = self.poison("/board/ballots", b"sound")
+        self.assertEqual(200, answer.status)
+
+    def test_neighbours_finish(self):
+        address = self.fleet.http("desk-1")
+
+        async def load():
+            neighbours = [
+                asyncio.ensure_future(
+                    send(address, "/board/n", method="POST", body=b"%d" % number)
+                )
+                for number in range(12)
+            ]
+            await asyncio.sleep(0.15)
+            await send(address, "/board/ballots", method="POST", body=b"poison five")
+            return await asyncio.gather(*neighbours)
+
+        # First attempts that earn the retries of the neighbours.
+        for number in range(12):
+            self.call("desk-1", f"/board/earn/{number}")
+        answers = self.run_loop(load())
+        self.assertLessEqual(1, self.revive())
+        self.assertEqual([200] * 12, [answer.status for answer in answers])
