Ask of a passed deadline that nothing runs on, not who noticed first

Cause: the test asked that each of three backend servers count a cancellation. At the deadline the vault's refusal may reach the one above before that one's own deadline, and it then ends by itself: seen as [1, 0, 1] on a busy machine. Ruled out: a fault of the chain; nothing was left running in that case. Change: the vault must be cancelled and no backend server may be running the request, which is the promise; the timeout is longer, so that the vault has begun. Conclusion: as strict about work that goes on, and the same at each run.

--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -70,19 +70,25 @@
     def cancelled(self):
         return [self.fleet.records(f"{name}-1")["cancelled"] for name in SERVICES]
 
-    def assert_cancelled_everywhere(self):
+    def running(self, name):
+        records = self.fleet.records(f"{name}-1")
+        return len(records["started"]) - records["cancelled"] - records["finished"]
+
+    def eventually(self, condition):
         end = time.monotonic() + SEEN_SECONDS
-        while self.cancelled() != [1, 1, 1] and time.monotonic() < end:
+        while not condition() and time.monotonic() < end:
             time.sleep(0.05)
-        self.assertEqual([1, 1, 1], self.cancelled())
+        self.assertTrue(condition())
 
     def test_caller_that_goes_away_cancels_the_whole_chain(self):
         self.run_loop(self.go_away())
-        self.assert_cancelled_everywhere()
+        self.eventually(lambda: self.cancelled() == [1, 1, 1])
 
     def test_deadline_cancels_the_whole_chain(self):
-        answer = self.run_loop(self.call(((b"damaskramp-timeout-ms", b"4000"),)))
+        answer = self.run_loop(self.call(((b"damaskramp-timeout-ms", b"8000"),)))
         self.assertEqual(b"unknown", answer.ok.value(b"damaskramp-outcome"))
         reason = answer.ok.value(b"damaskramp-reason")
         self.assertEqual(b"deadline_exceeded", reason)
-        self.assert_cancelled_everywhere()
+        # Above the vault either the deadline comes first or the vault's refusal.
+        self.eventually(lambda: [self.running(name) for name in SERVICES] == [0, 0, 0])
+        self.assertEqual(1, self.fleet.records("vault-1")["cancelled"])
