--- a/damaskramp/balancing/ejection.py
+++ b/damaskramp/balancing/ejection.py
@@ -1,11 +1,12 @@
 """Ejection of outliers, and the trial calls that end it."""
 
+import math
 from collections.abc import Callable, Sequence
 
 from numpy.random import Generator
 
 from damaskramp.balancing.balancer import AttemptResult
-from damaskramp.balancing.host_record import HostRecord
+from damaskramp.balancing.host_record import FAILURE_WEIGHT, HostRecord
 from damaskramp.config import BalancingSettings
 
 __all__ = ["OutlierEjection"]
@@ -13,6 +14,12 @@
 RECOVERED_SECONDS = 60.0
 """Time without ejection after which the back-off starts anew."""
 
+DEVIATIONS = 3.0
+"""Standard deviations by which chance may part a host from its peers."""
+
+STALE_FACTOR = 3
+"""Factor on the failures needed where the peers' shares may be out of date."""
+
 
 class OutlierEjection:
     """Ejects a host that fails while its peers do not.
@@ -51,6 +58,8 @@
         peers : sequence of HostRecord
             The other hosts of the same service.
         """
+        if record.failures == 1:
+            record.peer_attempts = _attempts(peers)
         if record.ejected:
             self._judge_trial(record, result, now)
         elif self._outlier(record, peers):
@@ -74,7 +83,7 @@
             self._event("backend_server_taken_back")
 
     def _outlier(self, record: HostRecord, peers: Sequence[HostRecord]) -> bool:
-        if record.failures < self._settings.failures:
+        if record.failures < self._failures_needed(record, peers):
             return False
         # What fails everywhere lies below these hosts, not in one of them.
         sound = [
@@ -83,7 +92,14 @@
             if not peer.ejected and peer.attempts >= self._settings.failures
         ]
         usual = sum(sound) / len(sound) if sound else 1.0
-        return record.failure_share >= usual + self._settings.failure_margin
+        margin = self._settings.failure_margin + DEVIATIONS * _deviation(usual)
+        return record.failure_share >= usual + margin
+
+    def _failures_needed(self, record: HostRecord, peers: Sequence[HostRecord]) -> int:
+        """Failures in a row; more where the peers were hardly asked meanwhile."""
+        needed = self._settings.failures
+        asked = _attempts(peers) - record.peer_attempts
+        return needed if asked >= 2 * needed else STALE_FACTOR * needed
 
     def _pardon(self, record: HostRecord, peers: Sequence[HostRecord]) -> None:
         """Take back what was ejected before the same failures showed elsewhere."""
@@ -107,3 +123,13 @@
         seconds = self._settings.eject_seconds * 2.0 ** (record.ejections - 1)
         seconds = min(seconds, self._settings.eject_limit_seconds)
         record.trial_at = now + seconds * self._generator.uniform(0.75, 1.25)
+
+
+def _deviation(share: float) -> float:
+    """Standard deviation of a moving average of failures around `share`."""
+    variance = share * (1.0 - share)
+    return math.sqrt(variance * FAILURE_WEIGHT / (2.0 - FAILURE_WEIGHT))
+
+
+def _attempts(records: Sequence[HostRecord]) -> int:
+    return sum(record.attempts for record in records)
--- a/damaskramp/balancing/host_record.py
+++ b/damaskramp/balancing/host_record.py
@@ -7,7 +7,7 @@
 from damaskramp.config import BalancingSettings
 from damaskramp.core import Incarnation
 
-__all__ = ["HostRecord"]
+__all__ = ["FAILURE_WEIGHT", "HostRecord"]
 
 FAILURE_WEIGHT = 0.2
 """Weight of the newest attempt in the share of failures."""
@@ -29,6 +29,8 @@
         Decaying peak of the observed latency in seconds, 0 where unknown.
     attempts, failures : int
         Attempts that ended here, and failures in a row.
+    peer_attempts : int
+        Attempts at the other hosts when the failures in a row began.
     failure_share : float
         Moving average of failed attempts, from 0 to 1.
     ejections : int
@@ -53,6 +55,7 @@
     shed_at: float = LONG_AGO
     attempts: int = 0
     failures: int = 0
+    peer_attempts: int = 0
     failure_share: float = 0.0
     ejections: int = 0
     ejected: bool = False
--- a/damaskramp/balancing/tests/test_observed.py
+++ b/damaskramp/balancing/tests/test_observed.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from numpy.random import default_rng
 
 from damaskramp.admission import Load
 from damaskramp.balancing import Attempt, AttemptResult, ObservedBalancer
@@ -147,6 +148,13 @@
         self.spread(300, members(3), lambda host: AttemptResult.FAILED)
         self.assertEqual(frozenset(), self.balancer.ejected)
 
+    def test_what_fails_by_halves_everywhere_ejects_none(self):
+        random = default_rng(3)
+        results = (AttemptResult.FAILED, AttemptResult.ANSWERED)
+        for _ in range(2000):
+            self.call(members(3), lambda host: results[random.integers(2)])
+        self.assertEqual(0, self.events["backend_server_ejected"])
+
     def test_new_host_starts_with_a_small_share(self):
         self.spread(10, members(2))
         spread = self.spread(100, members(3), step=0.001)
