--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+import numpy as np
 from grpclib.server import Server as GrpcServer
 
 from damaskramp.admission import FixedAdmission
@@ -14,20 +15,29 @@
     HostId,
     Incarnation,
     LoopTimers,
+    ServiceName,
     TimerService,
     ZoneName,
     host_generator,
 )
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
-from damaskramp.membership import LocalBroadcast, MemberTable
+from damaskramp.membership import (
+    GossipProtocol,
+    Member,
+    MembershipSettings,
+    MemberTable,
+)
 from damaskramp.node.admin import Admin
-from damaskramp.node.bundle_watch import BundleWatch
+from damaskramp.node.bundle_controller import BundleController
+from damaskramp.node.bundle_exchange import BundleClient, BundleService, HeldBundle
 from damaskramp.node.containment import Containment
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.drain import GracefulDrain
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
+from damaskramp.node.gossip import GossipController
+from damaskramp.node.gossip_server import GossipService
 from damaskramp.node.host_watch import HostWatch
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.objectives import ObjectiveKeeper
@@ -36,6 +46,7 @@
 from damaskramp.node.responses import refuse_unreadable
 from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
+from damaskramp.ownership import AcknowledgedOwnership, Owner, OwnershipSettings
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 from damaskramp.quarantine import Quarantine, Standing
 from damaskramp.quota import StaticSplit
@@ -68,9 +79,12 @@
         self._settings = settings
         self._timers = timers or LoopTimers()
         self._incarnation = Incarnation(int(self._timers.wall_now * MICROSECONDS))
+        self._seed = [*settings.node.host.encode(), self._incarnation]
         self._tasks: list[asyncio.Task] = []
         self._build_sections()
         self._build_clients()
+        self._build_gossip()
+        self._build_bundle_controller()
         self._build_call_path()
         self._build_servers()
         self._bundle.subscribe(self._follow_bundle)
@@ -110,6 +124,28 @@
         limit = settings.limits.whole_answer_bytes
         self._backend = _client(backend, settings.limits.connections, limit)
 
+    def _build_gossip(self) -> None:
+        times = self._settings.membership
+        own = _own_member(self._settings, self._incarnation)
+        self._ownership = AcknowledgedOwnership(
+            OwnershipSettings(times.silence_seconds, times.period_seconds),
+            self._timers,
+            Owner(own.host, own.incarnation, own.peer),
+        )
+        gossip = MembershipSettings(period_seconds=times.period_seconds)
+        random = np.random.default_rng(self._seed)
+        protocol = GossipProtocol(gossip, self._timers, own, random)
+        self._broadcast = protocol.broadcast
+        self._gossip = GossipController(
+            gossip,
+            self._timers,
+            protocol,
+            self._ownership,
+            self._members,
+            self._pool,
+            self._telemetry,
+        )
+
     def _build_call_path(self) -> None:
         settings = self._settings
         zone = ZoneName(settings.node.zone)
@@ -122,7 +158,7 @@
             self._timers,
             own,
             zone,
-            LocalBroadcast(),
+            self._broadcast,
             self._telemetry.event,
         )
         self._executor = Executor(
@@ -190,8 +226,11 @@
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
+        gossip = GossipService(self._gossip, self._ownership)
         self._peer_service = PeerService(self._timers, self._executor)
-        self._peer = GrpcServer([self._peer_service])
+        self._peer = GrpcServer(
+            [self._peer_service, gossip, BundleService(self._held_bundle)]
+        )
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -205,9 +244,10 @@
         await self._admin.start(*_split(listen.admin))
         await self._peer.start(*_split(listen.peer))
         await self._http.start(*_split(listen.http))
-        self._spawn(self._watch_bundle().run())
+        self._spawn(self._bundle_controller.run())
         self._spawn(self._watch_hosts().run())
         self._timers.every(EXPIRE_SECONDS, self._quarantine.expire)
+        self._spawn(self._gossip.run())
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
         LOGGER.info("started", extra=fields)
 
@@ -215,6 +255,7 @@
         """Finish what is running, then close; False when time ran out."""
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
+        await self._gossip.leave()
         drain = GracefulDrain(
             self._settings.limits, self._timers, self._http, self._peer_service
         )
@@ -225,6 +266,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._gossip.close()
         self._pool.close()
         self._backend.close()
         self._platform.close()
@@ -238,7 +280,9 @@
         return {
             "host": self._settings.node.host,
             "zone": self._settings.node.zone,
-            "incarnation": self._incarnation,
+            "incarnation": self._ownership.own.incarnation,
+            "ownership_active": self._ownership.active,
+            "periods": self._gossip.protocol.periods,
             "state": self._lifecycle.value.value,
             "bundle": None if view is None else _bundle_status(view),
             "members": [_member_status(member) for member in self._members.value],
@@ -255,16 +299,26 @@
             "ejected": sorted(self._balancer.ejected),
         }
 
-    def _watch_bundle(self) -> BundleWatch:
+    def _build_bundle_controller(self) -> None:
         name = self._settings.platform.bundle_name
-        source = HttpConfigurationSource(self._platform, name)
-        return BundleWatch(
-            self._settings, self._timers, self._bundle, source, self._telemetry
+        self._held_bundle = HeldBundle()
+        self._bundle_controller = BundleController(
+            self._settings,
+            self._timers,
+            self._bundle,
+            self._members,
+            HttpConfigurationSource(self._platform, name),
+            BundleClient(self._pool),
+            self._held_bundle,
+            self._broadcast,
+            self._telemetry,
+            np.random.default_rng(self._seed),
         )
 
     def _watch_hosts(self) -> HostWatch:
         hosts = HttpHostList(self._platform)
-        return HostWatch(self._settings, self._members, hosts, self._telemetry)
+        receive = self._gossip.receive_list
+        return HostWatch(self._settings, receive, hosts, self._telemetry)
 
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._limiter.set_bundle(view)
@@ -290,6 +344,16 @@
     return HttpClient(host, port, idle, whole_bytes)
 
 
+def _own_member(settings: NodeSettings, incarnation: Incarnation) -> Member:
+    return Member(
+        HostId(settings.node.host),
+        ZoneName(settings.node.zone),
+        settings.listen.peer,
+        ServiceName(settings.backend.service if settings.backend else ""),
+        incarnation=incarnation,
+    )
+
+
 def _bundle_status(view: BundleView) -> dict:
     return {
         "version": view.version,
@@ -304,4 +368,5 @@
         "zone": member.zone,
         "service": member.service,
         "state": member.state.value,
+        "incarnation": member.incarnation,
     }
--- a/damaskramp/node/containment.py
+++ b/damaskramp/node/containment.py
@@ -53,6 +53,7 @@
         self._backend = backend
         self._event = event
         self._running = RunningCalls()
+        self._death_ms = 0
         self._judgement: asyncio.Task[int] | None = None
 
     async def run(self, call: Call, work: Callable[[Call], Awaitable[Reply]]) -> Reply:
@@ -133,10 +134,20 @@
         )
         if not died:
             return 0
-        self._event("backend_server_died")
-        calls = self._running.broken(self._settings.suspects_per_death)
-        items = dict.fromkeys(fingerprint_of(call) for call in calls)
-        return self._quarantine.record_death(tuple(items))
+        limit = self._settings.suspects_per_death
+        calls = self._running.broken(limit)
+        if calls:
+            self._event("backend_server_died")
+            self._death_ms = self._quarantine.record_death(_items(calls))
+            self._running.next_process()
+        else:
+            late = self._running.broken_late(limit)
+            self._quarantine.record_death(_items(late), self._death_ms)
+        return self._death_ms
+
+
+def _items(calls: list[Call]) -> tuple[Fingerprint, ...]:
+    return tuple(dict.fromkeys(fingerprint_of(call) for call in calls))
 
 
 def fingerprint_of(call: Call) -> Fingerprint:
--- a/damaskramp/quarantine/ledger.py
+++ b/damaskramp/quarantine/ledger.py
@@ -15,9 +15,6 @@
 
 __all__ = ["Death", "DeathLedger", "Standing"]
 
-SAME_DEATH_MS = 2000
-"""Reports of one host's death within this time speak of the same death."""
-
 DEATHS_KEPT = 16
 MS = 1000
 
@@ -44,17 +41,9 @@
     succeeded_ms: int = 0
 
     def counted(self) -> list[int]:
-        """Moments of the distinct deaths since the last success."""
-        moments = []
-        last: Death | None = None
-        for death in sorted(self.deaths):
-            same = last is not None and last.host == death.host
-            if same and death.at_ms - last.at_ms < SAME_DEATH_MS:
-                continue
-            last = death
-            if death.at_ms > self.succeeded_ms:
-                moments.append(death.at_ms)
-        return sorted(moments)
+        """Moments of the deaths since the last success."""
+        moments = [death.at_ms for death in self.deaths]
+        return sorted(moment for moment in moments if moment > self.succeeded_ms)
 
 
 class DeathLedger:
--- a/damaskramp/quarantine/quarantine.py
+++ b/damaskramp/quarantine/quarantine.py
@@ -95,15 +95,22 @@
         """Drop what counts no longer."""
         self._ledger.expire(self.now_ms)
 
-    def record_death(self, items: Sequence[Fingerprint]) -> int:
+    def record_death(
+        self, items: Sequence[Fingerprint], at_ms: int | None = None
+    ) -> int:
         """Record that this host's backend server died running `items`.
 
+        Parameters
+        ----------
+        at_ms : int, optional
+            Moment of a death that was recorded before; now where absent.
+
         Returns
         -------
         int
             Moment of the death in milliseconds since the epoch.
         """
-        now_ms = self.now_ms
+        now_ms = self.now_ms if at_ms is None else at_ms
         self._add_deaths(items, Death(self._own, now_ms))
         for start in range(0, len(items), FINGERPRINTS_PER_ITEM):
             part = items[start : start + FINGERPRINTS_PER_ITEM]
--- a/damaskramp/quarantine/running.py
+++ b/damaskramp/quarantine/running.py
@@ -9,6 +9,7 @@
 @dataclass(slots=True, eq=False)
 class _Running:
     call: object
+    generation: int
     broken: bool = False
 
 
@@ -29,6 +30,7 @@
 
     def __init__(self) -> None:
         self._running: dict[_Running, None] = {}
+        self._generation = 0
 
     def __len__(self) -> int:
         return len(self._running)
@@ -44,7 +46,7 @@
 
     def begin(self, call: object) -> _Running:
         """Record a call that is sent to the backend server."""
-        entry = _Running(call)
+        entry = _Running(call, self._generation)
         self._running[entry] = None
         return entry
 
@@ -57,6 +59,22 @@
         self._running.pop(entry, None)
 
     def broken(self, newest: int) -> list[object]:
-        """Calls that broke, the newest first, at most so many."""
+        """Calls of the present process that broke, newest first, at most so many."""
+        return self._broken(newest, self._generation)
+
+    def broken_late(self, newest: int) -> list[object]:
+        """Calls that broke by the former death, but only after it was known."""
+        return self._broken(newest, self._generation - 1)
+
+    def next_process(self) -> None:
+        """Count what begins from now on as calls of another process."""
+        self._generation += 1
+
+    def _broken(self, newest: int, generation: int) -> list[object]:
         entries: Iterable[_Running] = reversed(self._running)
-        return [entry.call for entry in entries if entry.broken][:newest]
+        calls = [
+            entry.call
+            for entry in entries
+            if entry.broken and entry.generation == generation
+        ]
+        return calls[:newest]
--- a/damaskramp/quarantine/tests/test_quarantine.py
+++ b/damaskramp/quarantine/tests/test_quarantine.py
@@ -44,12 +44,12 @@
         self.assertEqual(Standing.CLEAR, ledger.standing(OTHER, NOW + 1))
 
     def test_one_death_told_twice_counts_once(self):
-        ledger = self.ledger(Death(HostId("a"), NOW), Death(HostId("a"), NOW + 30))
+        ledger = self.ledger(Death(HostId("a"), NOW), Death(HostId("a"), NOW))
         self.assertEqual(Standing.SUSPECT, ledger.standing(ITEM, NOW + 40))
 
-    def test_later_death_of_the_same_host_counts(self):
-        ledger = self.ledger(Death(HostId("a"), NOW), Death(HostId("a"), NOW + 5000))
-        self.assertEqual(Standing.QUARANTINED, ledger.standing(ITEM, NOW + 5000))
+    def test_death_of_a_host_that_was_restarted_at_once_counts(self):
+        ledger = self.ledger(Death(HostId("a"), NOW), Death(HostId("a"), NOW + 300))
+        self.assertEqual(Standing.QUARANTINED, ledger.standing(ITEM, NOW + 300))
 
     def test_success_clears_what_came_before_it(self):
         ledger = self.ledger(Death(HostId("a"), NOW), NOW + 5)
@@ -204,6 +204,18 @@
         calls.break_off(calls.begin("c"))
         self.assertFalse(calls.all_broken)
 
+    def test_calls_that_break_late_belong_to_the_former_death(self):
+        calls = RunningCalls()
+        first, second = calls.begin("a"), calls.begin("b")
+        calls.break_off(first)
+        self.assertEqual(["a"], calls.broken(9))
+        calls.next_process()
+        calls.end(first)
+        calls.break_off(second)
+        calls.break_off(calls.begin("c"))
+        self.assertEqual(["b"], calls.broken_late(9))
+        self.assertEqual(["c"], calls.broken(9))
+
     def test_younger_call_may_run_on_the_next_process(self):
         calls = RunningCalls()
         calls.break_off(calls.begin("a"))
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -54,6 +54,22 @@
         # This id was made for a request that was refused at once.
         self.assertEqual(b"not-run", answer.value(OUTCOME))
 
+    def test_repeats_through_all_nodes_of_a_zone(self):
+        # Three nodes of zone z1; those of z2 count for themselves.
+        nodes = [spec.host for spec in self.HOSTS if spec.zone == "z1"]
+        deaths = 0
+        for number in range(8):
+            host = nodes[number % len(nodes)]
+            self.call(host, "/board/ballots", method="POST", body=b"poison six")
+            deaths += self.revive()
+            if deaths == 1:
+                self.eventually(lambda: all(map(self.suspects, nodes)))
+        self.assertLessEqual(deaths, 2 * LOST_AT_MOST)
+
+    def suspects(self, host):
+        counts = self.fleet.status(host)["quarantine"]
+        return counts["suspects"] + counts["quarantined"] > 0
+
     def test_retries_of_the_system_itself(self):
         answer, deaths = self.poison("/board/notes", b"poison two")
         self.assertLessEqual(deaths, LOST_AT_MOST)
