Drop retry buckets of former teams; test balancing with real processes

Cause: buckets of teams that a bundle no longer names stayed; balancing had no test with real processes. Ruled out: nothing else was weighed. Change: the bundle's teams are handed to the allowances; tests/test_balancing.py (dead backend server, leaving node that the platform still lists).

--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -16,6 +16,7 @@
     Incarnation,
     LoopTimers,
     ServiceName,
+    TeamId,
     TimerService,
     ZoneName,
     host_generator,
@@ -194,7 +195,7 @@
             self._quarantine,
             self._telemetry.event,
         )
-        allowances = RetryAllowances(
+        self._allowances = RetryAllowances(
             settings.retries,
             self._timers,
             HintSpreader(settings.retries, generator),
@@ -207,7 +208,7 @@
             self._contexts,
             self._limiter,
             self._dispatcher,
-            allowances,
+            self._allowances,
             self._telemetry,
             self._objectives,
         )
@@ -322,6 +323,8 @@
 
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._limiter.set_bundle(view)
+        teams = frozenset(TeamId(team.name) for team in view.contents.teams)
+        self._allowances.set_teams(teams)
         self._classes.replace(view.contents.bundle.classes)
         if self._lifecycle.value is Lifecycle.STARTING:
             self._lifecycle.replace(Lifecycle.SERVING)
--- a/damaskramp/node/retrying.py
+++ b/damaskramp/node/retrying.py
@@ -5,7 +5,7 @@
 
 from damaskramp.bundle import BundleHead
 from damaskramp.config import RetrySettings
-from damaskramp.core import Outcome, Reason, TimerService
+from damaskramp.core import Outcome, Reason, TeamId, TimerService
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.contexts import RunningContext
 from damaskramp.retries import (
@@ -21,6 +21,8 @@
 
 EXHAUSTED_RETRY_AFTER_SECONDS = 1.0
 TOO_MANY_REQUESTS = 429
+OPEN_TEAM = TeamId("")
+"""Stands for callers without a key on open routes."""
 
 
 class RetryAllowances:
@@ -96,6 +98,10 @@
             parent.end_call(digest, failed, min(lent, unspent))
         return _told(reply, id_stated)
 
+    def set_teams(self, teams: frozenset[TeamId]) -> None:
+        """Drop the buckets of teams that the bundle no longer has."""
+        self._budgets.retain(teams | {OPEN_TEAM})
+
     def with_spread_hint(self, reply: Reply) -> Reply:
         """Reply whose hint differs from that of others refused with it."""
         return replace(reply, retry_after=self._hints.spread(reply.retry_after))
--- /dev/null
+++ b/tests/test_balancing.py
@@ -0,0 +1,55 @@
+"""Choice of backend servers by real nodes while the platform's list lags."""
+
+import signal
+
+from tests.fleets import FleetTestCase, desk_and_boards
+
+NEAR = "board-2"
+"""The one board of the zone of ``desk-1``."""
+
+
+class TestBalancing(FleetTestCase):
+    HOSTS = desk_and_boards(3)
+
+    def started(self, host):
+        return len(self.fleet.records(host)["started"])
+
+    def statuses(self, count):
+        return [self.call("desk-1", f"/board/{n}").status for n in range(count)]
+
+    def ejected(self):
+        return self.fleet.status("desk-1")["ejected"]
+
+    def test_own_zone_is_used_first(self):
+        before = self.started(NEAR)
+        self.assertEqual([200] * 20, self.statuses(20))
+        self.assertGreater(self.started(NEAR) - before, 10)
+
+    def test_dead_backend_server_costs_no_request_and_comes_back(self):
+        self.fleet.backend_process(NEAR).kill()
+        self.assertEqual([200] * 20, self.statuses(20))
+        self.assertEqual([NEAR], self.ejected())
+        self.fleet.start_backend(NEAR)
+
+        def back():
+            self.assertEqual([200], self.statuses(1))
+            return not self.ejected() and self.started(NEAR) > 0
+
+        self.eventually(back)
+
+
+class TestLeaving(FleetTestCase):
+    HOSTS = desk_and_boards(3)
+
+    def test_leaving_one_gets_nothing_new_though_still_listed(self):
+        # The fleet's platform goes on listing every host as live.
+        call = self.call
+        self.assertEqual(200, call("desk-1", "/board/a").status)
+        node = self.fleet.node(NEAR)
+        node.send(signal.SIGTERM)
+        statuses = {call("desk-1", f"/board/{n}").status for n in range(20)}
+        self.eventually(lambda: not node.running)
+        before = len(self.fleet.records(NEAR)["started"])
+        statuses |= {call("desk-1", f"/board/{n}").status for n in range(20)}
+        self.assertEqual({200}, statuses)
+        self.assertEqual(before, len(self.fleet.records(NEAR)["started"]))
