--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -12,6 +12,7 @@
 from damaskramp.config import NodeSettings
 from damaskramp.core import (
     Blackboard,
+    FindingsError,
     HostId,
     Incarnation,
     LoopTimers,
@@ -52,6 +53,7 @@
 from damaskramp.quarantine import Quarantine, Standing
 from damaskramp.quota import StaticSplit
 from damaskramp.retries import Backoff, HintSpreader
+from damaskramp.tls import TlsContexts
 
 __all__ = ["Node"]
 
@@ -120,7 +122,8 @@
     def _build_clients(self) -> None:
         settings = self._settings
         self._platform = _client(settings.platform.address, 4, 2**20)
-        self._pool = PeerPool()
+        self._tls = TlsContexts(settings.tls)
+        self._pool = PeerPool(self._tls)
         backend = settings.backend.address if settings.backend else "127.0.0.1:1"
         limit = settings.limits.whole_answer_bytes
         self._backend = _client(backend, settings.limits.connections, limit)
@@ -240,11 +243,17 @@
         ------
         OSError
             If an address is in use.
+        FindingsError
+            If a certificate can't be read.
         """
         listen = self._settings.listen
+        loaded = self._tls.load("settings")
+        if loaded.is_error():
+            raise FindingsError(loaded.error)
         await self._admin.start(*_split(listen.admin))
-        await self._peer.start(*_split(listen.peer))
-        await self._http.start(*_split(listen.http))
+        await self._peer.start(*_split(listen.peer), ssl=self._tls.peer_server)
+        await self._http.start(*_split(listen.http), self._tls.caller_server)
+        self._tls.follow(self._timers, self._telemetry.event)
         self._spawn(self._bundle_controller.run())
         self._spawn(self._watch_hosts().run())
         self._timers.every(EXPIRE_SECONDS, self._quarantine.expire)
@@ -267,6 +276,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tls.close()
         await self._gossip.close()
         self._pool.close()
         self._backend.close()
@@ -285,7 +295,7 @@
             "ownership_active": self._ownership.active,
             "periods": self._gossip.protocol.periods,
             "state": self._lifecycle.value.value,
-            "bundle": None if view is None else _bundle_status(view),
+            "bundle": None if view is None else self._bundle_status(view),
             "members": [_member_status(member) for member in self._members.value],
             "backend": {
                 "service": getattr(self._settings.backend, "service", None),
@@ -300,6 +310,14 @@
             "ejected": sorted(self._balancer.ejected),
         }
 
+    def _bundle_status(self, view: BundleView) -> dict:
+        return {
+            "version": view.version,
+            "digest": view.signed.digest,
+            "withdrawn_keys": len(view.withdrawn),
+            "in_force_at": self._bundle_controller.in_force_at,
+        }
+
     def _build_bundle_controller(self) -> None:
         name = self._settings.platform.bundle_name
         self._held_bundle = HeldBundle()
@@ -357,14 +375,6 @@
     )
 
 
-def _bundle_status(view: BundleView) -> dict:
-    return {
-        "version": view.version,
-        "digest": view.signed.digest,
-        "withdrawn_keys": len(view.withdrawn),
-    }
-
-
 def _member_status(member: object) -> dict:
     return {
         "host": member.host,
