--- a/damaskramp/core/__init__.py
+++ b/damaskramp/core/__init__.py
@@ -19,6 +19,7 @@
     ZoneName,
 )
 from damaskramp.core.outcomes import Outcome, Reason
+from damaskramp.core.randomness import host_generator
 from damaskramp.core.timers import LoopTimers, TimerHandle, TimerService, VirtualTimers
 
 __all__ = [
@@ -43,4 +44,5 @@
     "TimerService",
     "VirtualTimers",
     "ZoneName",
+    "host_generator",
 ]
