Claims before release at the home of a request id

Cause: a non-idempotent request could run once for each attempt of its caller, and a refusal said "not run" without knowing earlier attempts. Ruled out: a permission sent back to the entry node, since a lost permission leaves a claim that nobody can account for; the home releases the request itself. Change: issued ids and callers' own ids with a home, claims, copies with a fence, the executing node's record, and outcomes that only the home may call "not run".

--- a/damaskramp/config/__init__.py
+++ b/damaskramp/config/__init__.py
@@ -3,6 +3,7 @@
 from damaskramp.config.settings import (
     Address,
     BackendSettings,
+    DedupSettings,
     LimitSettings,
     ListenSettings,
     NodeSettings,
@@ -14,6 +15,7 @@
 __all__ = [
     "Address",
     "BackendSettings",
+    "DedupSettings",
     "LimitSettings",
     "ListenSettings",
     "NodeSettings",
--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -8,6 +8,7 @@
 __all__ = [
     "Address",
     "BackendSettings",
+    "DedupSettings",
     "LimitSettings",
     "ListenSettings",
     "LogSettings",
@@ -114,6 +115,24 @@
     depth: Annotated[int, Field(gt=0, le=64)] = 32
 
 
+class DedupSettings(Settings):
+    """Bounds on what is kept for at-most-once execution.
+
+    Attributes
+    ----------
+    claims : int
+        Claims held at most; further ones are refused.
+    answer_bytes : int
+        Finished answers kept for repeats, in bytes.
+    clock_skew_seconds : float
+        Most that the clocks of a caller and of this host differ.
+    """
+
+    claims: Annotated[int, Field(gt=0)] = 100_000
+    answer_bytes: Annotated[int, Field(ge=0)] = 32 * MIB
+    clock_skew_seconds: PositiveSeconds = 2.0
+
+
 class LogSettings(Settings):
     """Logging."""
 
@@ -129,4 +148,5 @@
     platform: PlatformSettings
     trust: TrustSettings
     limits: LimitSettings = LimitSettings()
+    dedup: DedupSettings = DedupSettings()
     log: LogSettings = LogSettings()
--- a/damaskramp/http/client.py
+++ b/damaskramp/http/client.py
@@ -116,8 +116,9 @@
         try:
             async with asyncio.timeout(timeout):
                 connection = self._take() or await self._connect()
+                data = self._encode(connection, request)
                 sent = True
-                connection.writer.write(self._encode(connection, request))
+                connection.writer.write(data)
                 await connection.writer.drain()
                 response = await self._read(connection)
         except TimeoutError:
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import secrets
 
 from grpclib.server import Server as GrpcServer
 
@@ -17,6 +18,7 @@
     TimerService,
     ZoneName,
 )
+from damaskramp.dedup import ExecutionLedger, IdMint
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
 from damaskramp.membership import MemberTable
 from damaskramp.node.admin import Admin
@@ -25,11 +27,16 @@
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
+from damaskramp.node.home import Home
+from damaskramp.node.home_peers import GrpcHomeMessages, HomeService
+from damaskramp.node.home_router import HomeRouter
 from damaskramp.node.host_watch import HostWatch
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
+from damaskramp.node.releases import ReleaseGuard
 from damaskramp.node.telemetry import Telemetry
+from damaskramp.ownership import ListedOwnership
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 from damaskramp.quota import StaticSplit
 
@@ -40,6 +47,7 @@
 DEFAULT_SLOTS = 64
 MICROSECONDS = 1_000_000
 ADMIN_CONNECTIONS = 64
+ID_SECRET_BYTES = 32
 
 
 class Node:
@@ -104,6 +112,7 @@
         settings = self._settings
         zone = ZoneName(settings.node.zone)
         self._contexts = ContextTable()
+        self._build_dedup(zone)
         self._admission = FixedAdmission(DEFAULT_SLOTS)
         self._limiter = StaticSplit(self._timers, zone)
         self._executor = Executor(
@@ -115,6 +124,7 @@
             self._backend,
             self._contexts,
             self._telemetry,
+            ReleaseGuard(zone, self._ledger, self._ownership),
         )
         self._dispatcher = Dispatcher(
             HostId(settings.node.host),
@@ -124,6 +134,7 @@
             self._executor,
             PeerClient(self._timers, self._pool),
         )
+        self._build_home()
         self._entry = Entry(
             settings,
             self._timers,
@@ -132,8 +143,43 @@
             self._limiter,
             self._dispatcher,
             self._telemetry,
+            self._homes,
+            self._mint,
         )
 
+    def _build_dedup(self, zone: ZoneName) -> None:
+        host = HostId(self._settings.node.host)
+        self._ownership = ListedOwnership(self._timers, host, zone, self._members)
+        secret = secrets.token_bytes(ID_SECRET_BYTES)
+        self._mint = IdMint(self._timers, zone, host, self._incarnation, secret)
+        self._ledger = ExecutionLedger(
+            self._timers, self._repeat_window, self._settings.dedup.claims
+        )
+
+    def _build_home(self) -> None:
+        messages = GrpcHomeMessages(self._timers, self._pool)
+        self._home = Home(
+            self._settings,
+            self._timers,
+            self._incarnation,
+            self._bundle,
+            self._ownership,
+            self._mint,
+            self._dispatcher,
+            messages,
+        )
+        self._homes = HomeRouter(
+            self._settings,
+            self._members,
+            self._ownership,
+            self._mint,
+            self._home,
+            messages,
+        )
+
+    def _repeat_window(self) -> float:
+        return self._home.retention()
+
     def _build_servers(self) -> None:
         limits = self._settings.limits
         bounds = HttpServerSettings(
@@ -148,7 +194,12 @@
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
-        self._peer = GrpcServer([PeerService(self._timers, self._executor)])
+        self._peer = GrpcServer(
+            [
+                PeerService(self._timers, self._executor),
+                HomeService(self._timers, self._home),
+            ]
+        )
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -172,9 +223,11 @@
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
         finished = await self._http.drain(self._settings.limits.drain_seconds)
+        await self._home.drain(self._settings.limits.drain_seconds)
         self._peer.close()
         await self._peer.wait_closed()
         await self._admin.drain(0.0)
+        self._home.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -217,11 +270,13 @@
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._limiter.set_bundle(view)
         self._classes.replace(view.contents.bundle.classes)
+        self._home.set_bundle(view)
         if self._lifecycle.value is Lifecycle.STARTING:
             self._lifecycle.replace(Lifecycle.SERVING)
 
     def _follow_members(self, members: MemberTable) -> None:
         zone = ZoneName(self._settings.node.zone)
+        self._home.ranges.observe_all()
         self._limiter.set_hosts(frozenset(m.host for m in members.in_zone(zone)))
 
     def _spawn(self, coroutine: object) -> None:
--- a/damaskramp/node/calls.py
+++ b/damaskramp/node/calls.py
@@ -7,6 +7,7 @@
 from damaskramp.core import (
     BundleVersion,
     HostId,
+    Incarnation,
     KeyDigest,
     Outcome,
     Reason,
@@ -17,7 +18,25 @@
 )
 from damaskramp.http import Headers, HttpRequest
 
-__all__ = ["Call", "CallContext", "Reply"]
+__all__ = ["NO_HOME", "Call", "CallContext", "HomeStamp", "Reply"]
+
+
+@dataclass(frozen=True, slots=True)
+class HomeStamp:
+    """Node that claimed a request id.
+
+    Attributes
+    ----------
+    zone : ZoneName
+        Empty where the id itself names its home, which nobody can take over.
+    """
+
+    host: HostId
+    incarnation: Incarnation
+    zone: ZoneName
+
+
+NO_HOME = HomeStamp(HostId(""), Incarnation(0), ZoneName(""))
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +59,10 @@
         Hops before this one.
     attempt : int
         0 for the first attempt of this hop.
+    claim : bytes
+        Key of the claim that allows the release, empty for idempotent calls.
+    home : HomeStamp
+        Node that made the claim.
     """
 
     request_id: RequestId
@@ -56,6 +79,8 @@
     entry_host: HostId
     entry_zone: ZoneName
     attempt: int = 0
+    claim: bytes = b""
+    home: HomeStamp = NO_HOME
 
 
 @dataclass(frozen=True, slots=True)
--- a/damaskramp/node/codec.py
+++ b/damaskramp/node/codec.py
@@ -6,6 +6,7 @@
 from damaskramp.core import (
     BundleVersion,
     HostId,
+    Incarnation,
     KeyDigest,
     Outcome,
     Reason,
@@ -15,7 +16,7 @@
     ZoneName,
 )
 from damaskramp.http import Headers, HttpRequest
-from damaskramp.node.calls import Call, CallContext, Reply
+from damaskramp.node.calls import Call, CallContext, HomeStamp, Reply
 from damaskramp.wire import peer_pb2
 
 __all__ = ["decode_call", "decode_head", "encode_call", "encode_head"]
@@ -49,6 +50,10 @@
             entry_host=context.entry_host,
             entry_zone=context.entry_zone,
             attempt=context.attempt,
+            claim=context.claim,
+            home_host=context.home.host,
+            home_incarnation=context.home.incarnation,
+            home_zone=context.home.zone,
         ),
         method=call.request.method,
         target=call.request.target,
@@ -82,6 +87,12 @@
             entry_host=HostId(context.entry_host),
             entry_zone=ZoneName(context.entry_zone),
             attempt=context.attempt,
+            claim=context.claim,
+            home=HomeStamp(
+                HostId(context.home_host),
+                Incarnation(context.home_incarnation),
+                ZoneName(context.home_zone),
+            ),
         ),
         request,
     )
--- a/damaskramp/node/dispatch.py
+++ b/damaskramp/node/dispatch.py
@@ -7,6 +7,7 @@
 from damaskramp.membership import Member, MemberTable
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.execution import Executor
+from damaskramp.node.home import Releaser
 from damaskramp.node.peers import PeerClient
 
 __all__ = ["Dispatcher"]
@@ -17,7 +18,7 @@
 FINAL_REASONS = frozenset({Reason.KEY_WITHDRAWN, Reason.DEADLINE_EXCEEDED})
 
 
-class Dispatcher:
+class Dispatcher(Releaser):
     """Sends calls to the nodes beside the backend servers of their service.
 
     Parameters
@@ -58,20 +59,22 @@
         retries_left = call.context.retries_left
         tried: set[HostId] = set()
         attempt = 0
+        may_have_run = False
         while True:
             members = self._members.value.serving(call.context.service)
             member = self._balancer.choose(members, tried)
             if member is None:
-                return reply.with_retries(retries_left)
+                return _true(reply, may_have_run).with_retries(retries_left)
             tried.add(member.host)
             context = replace(call.context, retries_left=retries_left, attempt=attempt)
             reply = await self._attempt(member, replace(call, context=context))
             retries_left = min(retries_left, _unspent(reply, retries_left))
+            may_have_run = may_have_run or reply.outcome is Outcome.UNKNOWN
             if not self._may_retry(call, reply):
-                return reply.with_retries(retries_left)
+                return _true(reply, may_have_run).with_retries(retries_left)
             if reply.reason not in FREE_REASONS:
                 if retries_left == 0:
-                    return reply.with_retries(0)
+                    return _true(reply, may_have_run).with_retries(0)
                 retries_left -= 1
             attempt += 1
 
@@ -102,6 +105,13 @@
         return reply.outcome is Outcome.UNKNOWN and call.context.idempotent
 
 
+def _true(reply: Reply, may_have_run: bool) -> Reply:
+    """A call that did not run at the last host may have run at an earlier one."""
+    if may_have_run and reply.outcome is Outcome.NOT_RUN:
+        return replace(reply, outcome=Outcome.UNKNOWN)
+    return reply
+
+
 def _unspent(reply: Reply, lent: int) -> int:
     """Retries that came back; an attempt whose end is unknown may have spent all."""
     if reply.reason in (Reason.CONNECT_FAILED, Reason.ANSWER_LOST):
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -1,6 +1,5 @@
 """Entry of requests, from callers and from the backend server of this host."""
 
-import uuid
 from dataclasses import dataclass, replace
 
 from expression import Error, Ok, Result
@@ -9,32 +8,40 @@
 from damaskramp.config import NodeSettings
 from damaskramp.core import (
     HostId,
+    Outcome,
     Reason,
-    RequestId,
     Section,
     ServiceName,
     TimerService,
     ZoneName,
 )
+from damaskramp.dedup import IdMint
 from damaskramp.http import HttpRequest, HttpResponse, split_target
 from damaskramp.node.callers import Caller, identify
 from damaskramp.node.calls import Call, CallContext, Reply
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.fields import (
-    IDEMPOTENCY_KEY,
     TIMEOUT_MS,
     end_to_end,
     strip_private,
 )
+from damaskramp.node.home import HomeCall
+from damaskramp.node.home_router import HomeRouter
+from damaskramp.node.identities import (
+    ISSUE_TARGET,
+    Identity,
+    IssueEndpoint,
+    identify_request,
+    soften,
+    with_next_id,
+)
 from damaskramp.node.responses import to_http
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.quota import RateLimiter
 
 __all__ = ["Entry"]
 
-LONGEST_REQUEST_ID = 128
-
 
 @dataclass(frozen=True, slots=True)
 class _Arrival:
@@ -66,6 +73,10 @@
         Way to the backend servers.
     telemetry : Telemetry
         Counters.
+    homes : HomeRouter
+        Way to the homes of request ids.
+    mint : IdMint
+        Issuer of ids homed at this node.
     """
 
     def __init__(
@@ -77,6 +88,8 @@
         limiter: RateLimiter,
         dispatcher: Dispatcher,
         telemetry: Telemetry,
+        homes: HomeRouter,
+        mint: IdMint,
     ) -> None:
         self._settings = settings
         self._timers = timers
@@ -85,18 +98,28 @@
         self._limiter = limiter
         self._dispatcher = dispatcher
         self._telemetry = telemetry
+        self._homes = homes
+        self._mint = mint
+        self._issue = IssueEndpoint(mint, settings.node.zone)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
         started = self._timers.now
+        if request.target == ISSUE_TARGET:
+            return self._issue.handle(request, self._bundle.value)
         prepared = self._arrive(request, started).bind(self._prepare)
         if prepared.is_error():
-            self._telemetry.refused(prepared.error)
-            return to_http(prepared.error)
-        arrival, call = prepared.ok
-        reply = await self._run(arrival, call)
+            refusal = soften(request, prepared.error)
+            self._telemetry.refused(refusal)
+            return to_http(refusal)
+        arrival, identity, call = prepared.ok
+        reply = await self._run(arrival, identity, call)
         self._telemetry.answered(call.context, reply, self._timers.now - started)
-        return to_http(reply, call.context.request_id)
+        response = to_http(reply, call.context.request_id)
+        if arrival.caller.parent is not None or not call.context.team:
+            return response
+        next_id = self._mint.issue(identity.scope)
+        return with_next_id(response, next_id, self._settings.node.zone)
 
     def _arrive(self, request: HttpRequest, started: float) -> Result[_Arrival, Reply]:
         view = self._bundle.value
@@ -109,7 +132,9 @@
         caller = identify(request, route, view, self._contexts)
         return caller.map(lambda who: _Arrival(request, view, route, who, started))
 
-    def _prepare(self, arrival: _Arrival) -> Result[tuple[_Arrival, Call], Reply]:
+    def _prepare(
+        self, arrival: _Arrival
+    ) -> Result[tuple[_Arrival, Identity, Call], Reply]:
         parent = arrival.caller.parent
         depth = parent.context.depth + 1 if parent else 0
         if depth >= self._settings.limits.depth:
@@ -117,12 +142,12 @@
         deadline = self._deadline(arrival)
         if deadline.is_error():
             return deadline
-        request_id = self._request_id(arrival)
-        if request_id.is_error():
-            return request_id
+        identity = identify_request(arrival.request, arrival.caller, self._mint)
+        if identity.is_error():
+            return identity
         route = arrival.route
         context = CallContext(
-            request_id=request_id.ok,
+            request_id=identity.ok.request_id,
             team=arrival.caller.team,
             key_digest=arrival.caller.key_digest,
             service=ServiceName(route.service),
@@ -136,7 +161,8 @@
             entry_host=HostId(self._settings.node.host),
             entry_zone=ZoneName(self._settings.node.zone),
         )
-        return Ok((arrival, Call(context, _forwarded(arrival.request))))
+        call = Call(context, _forwarded(arrival.request))
+        return Ok((arrival, identity.ok, call))
 
     def _priority(self, arrival: _Arrival) -> int:
         """Class of the whole request: a call inherits that of its parent."""
@@ -157,32 +183,46 @@
             deadline = min(deadline, arrival.caller.parent.context.deadline)
         return Ok(deadline)
 
-    def _request_id(self, arrival: _Arrival) -> Result[RequestId, Reply]:
-        stated = arrival.request.values(IDEMPOTENCY_KEY)
-        if not stated:
-            return Ok(RequestId(uuid.uuid4().hex))
-        text = stated[0].decode("latin-1").strip('"')
-        if len(stated) > 1 or not 0 < len(text) <= LONGEST_REQUEST_ID:
-            detail = f"idempotency-key must stand once, up to {LONGEST_REQUEST_ID} long"
-            return Error(Reply.not_run(Reason.BAD_REQUEST, detail=detail))
-        return Ok(RequestId(text))
-
-    async def _run(self, arrival: _Arrival, call: Call) -> Reply:
+    async def _run(self, arrival: _Arrival, identity: Identity, call: Call) -> Reply:
         parent = arrival.caller.parent
         if parent is not None:
             lent = parent.lend_retries()
-            reply = await self._dispatch(call, lent)
+            reply = await self._dispatch(arrival, identity, call, lent)
             parent.return_retries(reply.retries_left)
             return reply
         if call.context.team:
             taken = await self._limiter.take(call.context.team, call.context.deadline)
             if taken.is_error():
-                return Reply.refused(taken.error)
-        return await self._dispatch(call, arrival.view.contents.bundle.retries)
-
-    async def _dispatch(self, call: Call, retries: int) -> Reply:
-        context = replace(call.context, retries_left=retries)
-        return await self._dispatcher.dispatch(Call(context, call.request))
+                refusal = Reply.refused(taken.error)
+                return await self._true_refusal(arrival, identity, call, refusal)
+        retries = arrival.view.contents.bundle.retries
+        return await self._dispatch(arrival, identity, call, retries)
+
+    async def _dispatch(
+        self, arrival: _Arrival, identity: Identity, call: Call, retries: int
+    ) -> Reply:
+        lent = Call(replace(call.context, retries_left=retries), call.request)
+        if not call.context.idempotent:
+            home_call = HomeCall(lent, identity.scope, identity.first_attempt)
+            return await self._homes.run(home_call)
+        reply = await self._dispatcher.dispatch(lent)
+        return soften(arrival.request, reply)
+
+    async def _true_refusal(
+        self, arrival: _Arrival, identity: Identity, call: Call, refusal: Reply
+    ) -> Reply:
+        """Refusal of this node, or what the home knows of earlier attempts."""
+        if not identity.stated or identity.first_attempt:
+            return refusal
+        if call.context.idempotent:
+            return soften(arrival.request, refusal)
+        look = HomeCall(call, identity.scope, look_only=True)
+        known = await self._homes.run(look)
+        if known.outcome is Outcome.NOT_RUN:
+            return refusal
+        if known.reason is Reason.HOME_UNREACHABLE:
+            return soften(arrival.request, refusal)
+        return known
 
 
 def _forwarded(request: HttpRequest) -> HttpRequest:
--- a/damaskramp/node/execution.py
+++ b/damaskramp/node/execution.py
@@ -12,6 +12,7 @@
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.fields import CONTEXT, PRIORITY, REQUEST_ID, TIMEOUT_MS
 from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.releases import ReleaseGuard
 from damaskramp.node.telemetry import Telemetry
 
 __all__ = ["Executor"]
@@ -38,6 +39,8 @@
         Tokens of running calls.
     telemetry : Telemetry
         Counters.
+    releases : ReleaseGuard
+        Record of non-idempotent calls that were released here.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         backend: HttpClient,
         contexts: ContextTable,
         telemetry: Telemetry,
+        releases: ReleaseGuard,
     ) -> None:
         self._settings = settings
         self._timers = timers
@@ -59,6 +63,7 @@
         self._backend = backend
         self._contexts = contexts
         self._telemetry = telemetry
+        self._releases = releases
 
     @property
     def running(self) -> int:
@@ -121,13 +126,19 @@
         remaining = context.deadline - self._timers.now
         if remaining <= 0:
             return Reply.not_run(Reason.DEADLINE_EXCEEDED)
+        refusal = self._releases.begin(context)
+        if refusal is not None:
+            return refusal.with_retries(context.retries_left)
+        ran = True
         token, running = self._contexts.issue(context)
         try:
             request = _backend_request(call, token, remaining)
             answer = await self._backend.request(request, remaining)
+            reply = self._judge(context, answer)
+            ran = reply.outcome is not Outcome.NOT_RUN
         finally:
             self._contexts.end(token)
-        reply = self._judge(context, answer)
+            self._releases.end(context, ran)
         return reply.with_retries(running.retries_left)
 
     def _judge(
--- a/damaskramp/node/fields.py
+++ b/damaskramp/node/fields.py
@@ -8,7 +8,10 @@
     "API_KEY",
     "AUTHORIZATION",
     "CONTEXT",
+    "FIRST_ATTEMPT",
+    "HOME_ZONE",
     "IDEMPOTENCY_KEY",
+    "NEXT_REQUEST_ID",
     "OUTCOME",
     "PRIORITY",
     "REASON",
@@ -24,6 +27,9 @@
 AUTHORIZATION = b"authorization"
 API_KEY = b"api-key"
 CONTEXT = b"damaskramp-context"
+FIRST_ATTEMPT = b"damaskramp-first-attempt"
+HOME_ZONE = b"damaskramp-home-zone"
+NEXT_REQUEST_ID = b"damaskramp-next-request-id"
 IDEMPOTENCY_KEY = b"idempotency-key"
 OUTCOME = b"damaskramp-outcome"
 PRIORITY = b"damaskramp-priority"
--- /dev/null
+++ b/damaskramp/node/home_router.py
@@ -0,0 +1,99 @@
+"""Way of a claimed call from its entry node to the home of its id."""
+
+from damaskramp.config import NodeSettings
+from damaskramp.core import Reason, Section, ZoneName
+from damaskramp.dedup import (
+    IdMint,
+    IssuedId,
+    OwnId,
+    claim_key,
+    parse_request_id,
+    thing_of,
+)
+from damaskramp.membership import MemberState, MemberTable
+from damaskramp.node.calls import Reply
+from damaskramp.node.home import Home, HomeCall, HomeMessages, unreachable
+from damaskramp.ownership import Ownership, rank_members
+
+__all__ = ["HomeRouter"]
+
+
+class HomeRouter:
+    """Sends calls to the homes of their ids.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    members : Section of MemberTable
+        Known members.
+    ownership : Ownership
+        Owners inside the zone.
+    mint : IdMint
+        Issuer of ids homed here.
+    home : Home
+        Home on this node.
+    messages : HomeMessages
+        Way to other homes.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        members: Section[MemberTable],
+        ownership: Ownership,
+        mint: IdMint,
+        home: Home,
+        messages: HomeMessages,
+    ) -> None:
+        self._settings = settings
+        self._members = members
+        self._ownership = ownership
+        self._mint = mint
+        self._home = home
+        self._messages = messages
+
+    async def run(self, home_call: HomeCall) -> Reply:
+        """Have the home of the call's id answer or release it."""
+        parsed = parse_request_id(home_call.call.context.request_id)
+        if parsed.is_error():
+            return Reply.not_run(Reason.BAD_REQUEST, detail=parsed.error)
+        if isinstance(parsed.ok, IssuedId):
+            return await self._run_issued(home_call, parsed.ok)
+        return await self._run_own(home_call, parsed.ok)
+
+    async def _run_issued(self, home_call: HomeCall, issued: IssuedId) -> Reply:
+        if issued.host == self._settings.node.host:
+            return await self._home.run(home_call)
+        member = self._members.value.get(issued.host)
+        if member is None:
+            return unreachable(home_call.first_attempt)
+        if member.incarnation > issued.incarnation:
+            return Reply.unknown(Reason.HISTORY_LOST, "the home of this id is gone")
+        return await self._send(member.peer, home_call)
+
+    async def _run_own(self, home_call: HomeCall, own_id: OwnId) -> Reply:
+        key = claim_key(home_call.scope, own_id.text)
+        zone = self._home.zones.home(own_id, key)
+        if zone is None:
+            return unreachable(home_call.first_attempt)
+        if zone != self._settings.node.zone:
+            peer = self._peer_in(zone, thing_of(key))
+        else:
+            owner = self._ownership.owner(thing_of(key))
+            if owner is not None and owner.host == self._settings.node.host:
+                return await self._home.run(home_call)
+            peer = owner.peer if owner else None
+        if peer is None:
+            return unreachable(home_call.first_attempt)
+        return await self._send(peer, home_call)
+
+    def _peer_in(self, zone: ZoneName, thing: str) -> str | None:
+        members = self._members.value.in_zone(zone)
+        able = [m for m in members if m.state is not MemberState.LEAVING]
+        ranked = rank_members(able, thing)
+        return ranked[0].peer if ranked else None
+
+    async def _send(self, peer: str, home_call: HomeCall) -> Reply:
+        reply = await self._messages.run(peer, home_call)
+        return unreachable(home_call.first_attempt) if reply is None else reply
--- /dev/null
+++ b/damaskramp/node/identities.py
@@ -0,0 +1,150 @@
+"""Which id a request carries, and what may truthfully be told without its home."""
+
+from dataclasses import dataclass, replace
+
+from expression import Error, Ok, Result
+
+from damaskramp.bundle import BundleView
+from damaskramp.core import Outcome, Reason, RequestId, TeamId
+from damaskramp.dedup import IdMint, IssuedId, OwnId, parse_request_id
+from damaskramp.http import HttpRequest, HttpResponse
+from damaskramp.node.callers import Caller, key_digest
+from damaskramp.node.calls import Reply
+from damaskramp.node.fields import (
+    FIRST_ATTEMPT,
+    HOME_ZONE,
+    IDEMPOTENCY_KEY,
+    NEXT_REQUEST_ID,
+    REQUEST_ID,
+    presented_keys,
+)
+from damaskramp.node.responses import to_http
+
+__all__ = [
+    "ISSUE_TARGET",
+    "Identity",
+    "IssueEndpoint",
+    "identify_request",
+    "soften",
+    "with_next_id",
+]
+
+ISSUE_TARGET = "/damaskramp/request-id"
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Id of a request.
+
+    Attributes
+    ----------
+    scope : str
+        Ids of different scopes never meet.
+    stated : bool
+        Whether the caller brought the id, so that earlier attempts may exist.
+    first_attempt : bool
+        Whether no earlier attempt can exist.
+    """
+
+    request_id: RequestId
+    scope: str
+    stated: bool
+    first_attempt: bool
+
+
+def identify_request(
+    request: HttpRequest, caller: Caller, mint: IdMint
+) -> Result[Identity, Reply]:
+    """Id that a request brings, or a new one homed at this node."""
+    scope = _scope(caller)
+    stated = request.values(IDEMPOTENCY_KEY)
+    if not stated:
+        return Ok(Identity(mint.issue(scope), scope, False, True))
+    if len(stated) > 1:
+        return _refuse("idempotency-key must stand once")
+    parsed = _stated_id(stated[0])
+    if parsed.is_error():
+        return _refuse(f"idempotency-key: {parsed.error}")
+    if not caller.team and not isinstance(parsed.ok, IssuedId):
+        return _refuse("idempotency-key of a caller's own needs a key")
+    return Ok(Identity(parsed.ok.text, scope, True, _marked_first(request)))
+
+
+def soften(request: HttpRequest, reply: Reply) -> Reply:
+    """Refusal by a part that does not know the history of a stated id."""
+    if reply.outcome is not Outcome.NOT_RUN or _marked_first(request):
+        return reply
+    stated = request.values(IDEMPOTENCY_KEY)
+    if len(stated) != 1 or _stated_id(stated[0]).is_error():
+        # A malformed id is refused everywhere, so it has run nowhere.
+        return reply
+    return replace(reply, outcome=Outcome.UNKNOWN)
+
+
+def with_next_id(response: HttpResponse, next_id: RequestId, zone: str) -> HttpResponse:
+    """Response that hands out an id for the caller's next request."""
+    fields = ((NEXT_REQUEST_ID, next_id.encode()), (HOME_ZONE, zone.encode()))
+    return replace(response, headers=response.headers + fields)
+
+
+class IssueEndpoint:
+    """Hands out ids to callers with a key.
+
+    Parameters
+    ----------
+    mint : IdMint
+        Issuer of ids homed at this node.
+    zone : str
+        Zone of this node.
+    """
+
+    def __init__(self, mint: IdMint, zone: str) -> None:
+        self._mint = mint
+        self._zone = zone
+
+    def handle(self, request: HttpRequest, view: BundleView | None) -> HttpResponse:
+        """Answer a request for an id."""
+        team = _team(request, view)
+        if team.is_error():
+            return to_http(team.error)
+        own = ((REQUEST_ID, self._mint.issue(team.ok).encode()),)
+        fields = (*own, (HOME_ZONE, self._zone.encode()))
+        return HttpResponse(204, fields)
+
+
+def _team(request: HttpRequest, view: BundleView | None) -> Result[TeamId, Reply]:
+    if view is None:
+        return Error(Reply.not_run(Reason.NO_BUNDLE, 1.0))
+    if request.method != "POST":
+        return Error(Reply.not_run(Reason.NO_ROUTE))
+    keys = presented_keys(request)
+    if len(keys) != 1:
+        reason = Reason.BAD_REQUEST if keys else Reason.KEY_MISSING
+        return Error(Reply.not_run(reason, detail="one key is needed"))
+    digest = key_digest(keys[0])
+    team = view.team_of(digest)
+    if team is not None:
+        return Ok(team)
+    withdrawn = digest in view.withdrawn
+    return Error(
+        Reply.not_run(Reason.KEY_WITHDRAWN if withdrawn else Reason.KEY_UNKNOWN)
+    )
+
+
+def _scope(caller: Caller) -> str:
+    """Ids of a backend server's calls are kept apart from its team's own."""
+    if caller.parent is None:
+        return caller.team
+    return f"{caller.team}/{caller.parent.context.service}"
+
+
+def _stated_id(value: bytes) -> Result[IssuedId | OwnId, str]:
+    return parse_request_id(value.decode("latin-1").strip('"'))
+
+
+def _marked_first(request: HttpRequest) -> bool:
+    return request.value(FIRST_ATTEMPT) == b"true"
+
+
+def _refuse(detail: str) -> Result[Identity, Reply]:
+    return Error(Reply.not_run(Reason.BAD_REQUEST, detail=detail))
