--- a/damaskramp/node/home.py
+++ b/damaskramp/node/home.py
@@ -73,11 +73,16 @@
 
 
 class CopyResult(Enum):
-    """What became of the copy of a claim."""
+    """What became of the copy of a claim.
+
+    ``FENCED`` tells that the sender is not the owner of the range any more,
+    ``KNOWN`` that another home claimed the id before.
+    """
 
     LOST = 0
     KEPT = 1
     FENCED = 2
+    KNOWN = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,7 +176,7 @@
         self._claims: ClaimTable[Reply] = ClaimTable(
             timers, self.retention, limits.claims, limits.answer_bytes
         )
-        self._copies: ClaimTable[Reply] = ClaimTable(
+        self._copies: ClaimTable[Owner] = ClaimTable(
             timers, self.retention, limits.claims, 0
         )
         self._ranges = RangeHistory(timers, ownership)
@@ -196,7 +201,7 @@
         return self._claims
 
     @property
-    def copies(self) -> ClaimTable[Reply]:
+    def copies(self) -> ClaimTable[Owner]:
         """Copies of claims that other homes made."""
         return self._copies
 
@@ -248,12 +253,15 @@
         """
         if not self._ownership.may_release(thing_of(copy.key), copy.home):
             return CopyResult.FENCED
+        if self._claims.get(copy.key) is not None:
+            return CopyResult.KNOWN
         if self._copies.get(copy.key) is not None:
-            return CopyResult.KEPT
+            same = self._copies.answer(copy.key) == copy.home
+            return CopyResult.KEPT if same else CopyResult.KNOWN
         if self._copies.full:
             return CopyResult.LOST
         self._copies.claim(copy.key, copy.fingerprint)
-        self._copies.settle(copy.key, ClaimState.UNKNOWN)
+        self._copies.settle(copy.key, ClaimState.UNKNOWN, copy.home)
         return CopyResult.KEPT
 
     async def drain(self, seconds: float) -> None:
@@ -398,6 +406,8 @@
         if result is CopyResult.FENCED:
             # A newer owner may already have released it.
             return Reply.unknown(Reason.HOME_UNREACHABLE)
+        if result is CopyResult.KNOWN:
+            return Reply.unknown(Reason.HISTORY_LOST, "claimed by a home that is gone")
         if result is CopyResult.LOST or self._ranges.owned_since(key) is None:
             return Reply.not_run(Reason.HOME_UNREACHABLE, UNREACHABLE_HINT_SECONDS)
         return None
--- /dev/null
+++ b/damaskramp/node/tests/fake_fleet.py
@@ -0,0 +1,517 @@
+"""Entry nodes, homes and executing nodes in one loop under a virtual clock.
+
+Everything is real but the sockets: messages between nodes, backend servers and
+ownership are fakes that kill, freeze, cut, delay and duplicate. The fake of
+ownership keeps the contract of `Ownership`: only a node that has been frozen holds
+an old view, and no other node of its zone agrees with it.
+"""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+import numpy as np
+import orjson
+from expression import Error, Ok, Result
+
+from damaskramp.admission import FixedAdmission, Refusal
+from damaskramp.balancing import RoundRobin
+from damaskramp.bundle import (
+    BundleView,
+    SigningKey,
+    parse_bundle_source,
+    sign_bundle,
+)
+from damaskramp.config import DedupSettings, NodeSettings
+from damaskramp.core import (
+    HostId,
+    Incarnation,
+    Reason,
+    Section,
+    ServiceName,
+    VirtualTimers,
+    ZoneName,
+)
+from damaskramp.dedup import ExecutionLedger, IdMint, thing_of
+from damaskramp.http import (
+    HttpRequest,
+    HttpResponse,
+    TransportError,
+    TransportErrorKind,
+)
+from damaskramp.membership import Member, MemberTable
+from damaskramp.node.calls import Call, Reply
+from damaskramp.node.contexts import ContextTable
+from damaskramp.node.dispatch import Dispatcher
+from damaskramp.node.entry import Entry
+from damaskramp.node.execution import Executor
+from damaskramp.node.home import ClaimCopy, CopyResult, Home, HomeCall, HomeMessages
+from damaskramp.node.home_router import HomeRouter
+from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.releases import ReleaseGuard
+from damaskramp.node.telemetry import Telemetry
+from damaskramp.ownership import Owner, Ownership, rank_members
+from damaskramp.quota import RateLimiter
+from damaskramp.testing.history import Execution
+
+__all__ = ["KEYS", "FakeFleet", "FakeNode", "bundle_view"]
+
+STEP_SECONDS = 0.05
+TURNS_A_STEP = 12
+ZONES = ("north", "south")
+HOSTS_A_ZONE = 3
+KEYS = {"clubs": b"key-clubs", "schools": b"key-schools"}
+SIGNER = SigningKey(bytes(range(32)))
+
+
+def bundle_view(
+    retention: float = 8.0, first_start: bool = False, issued: float = 0.0
+) -> BundleView:
+    """Bundle with one service, two teams and an idempotent and another route."""
+    teams = "".join(
+        f'[[teams]]\nname = "{team}"\nrate = 1000.0\nburst = 1000\n'
+        f'[[keys]]\nteam = "{team}"\n'
+        f'digest = "{hashlib.sha256(key).hexdigest()}"\n'
+        for team, key in KEYS.items()
+    )
+    routes = "".join(
+        f'[[routes]]\nservice = "slots"\nprefix = "{prefix}"\npriority = "all"\n'
+        f"idempotent = {idempotent}\ntimeout_seconds = 1.0\n"
+        for prefix, idempotent in (("/book", "false"), ("/read", "true"))
+    )
+    moment = datetime.fromtimestamp(issued, UTC).isoformat()
+    text = f"""\
+[bundle]
+version = 1
+issued = {moment}
+zones = {list(ZONES)!r}
+classes = ["all"]
+repeat_window_seconds = {retention}
+first_start = {str(first_start).lower()}
+{teams}
+[[services]]
+name = "slots"
+slots = 16
+connections = 64
+backend_servers = 6
+shed_means_not_run = true
+{routes}"""
+    return BundleView(sign_bundle(parse_bundle_source(text, "test").ok, SIGNER))
+
+
+class FakeLimiter(RateLimiter):
+    """Refuses a share of the requests."""
+
+    def __init__(self, fleet: "FakeFleet") -> None:
+        self._fleet = fleet
+
+    async def take(self, team: str, deadline: float) -> Result[None, Refusal]:
+        """Admit or refuse by chance."""
+        if self._fleet.chance(self._fleet.over_rate):
+            return Error(Refusal(Reason.TEAM_OVER_RATE))
+        return Ok(None)
+
+
+class FakeOwnership(Ownership):
+    """Ownership by the view that the node holds."""
+
+    def __init__(self, node: "FakeNode") -> None:
+        self._node = node
+        self.since = node.fleet.timers.now
+
+    @property
+    def active(self) -> bool:
+        return any(m.host == self._node.host for m in self._node.view)
+
+    @property
+    def active_since(self) -> float:
+        return self.since
+
+    def successors(self, thing: str, count: int) -> tuple[Owner, ...]:
+        ranked = rank_members(self._node.view, thing)[:count]
+        return tuple(Owner(m.host, m.incarnation, m.peer) for m in ranked)
+
+    def owns(self, thing: str) -> bool:
+        owner = self.owner(thing)
+        own = (self._node.host, self._node.incarnation)
+        return owner is not None and (owner.host, owner.incarnation) == own
+
+    def may_release(self, thing: str, releaser: Owner) -> bool:
+        owner = self.owner(thing)
+        if owner is None:
+            return False
+        own = (owner.host, owner.incarnation)
+        return own == (releaser.host, releaser.incarnation)
+
+
+class FakeBackend:
+    """Backend server that runs, sheds, breaks off or refuses connections."""
+
+    def __init__(self, node: "FakeNode") -> None:
+        self._node = node
+
+    async def request(
+        self, request: HttpRequest, timeout: float
+    ) -> Result[HttpResponse, TransportError]:
+        """Answer one request after some virtual time."""
+        fleet = self._node.fleet
+        fate = fleet.draw()
+        if fate < fleet.backend_faults:
+            return Error(TransportError(TransportErrorKind.CONNECT, False))
+        await self._node.thawed()
+        if fate < 2 * fleet.backend_faults:
+            return Ok(HttpResponse(503))
+        digest = hashlib.sha256(request.target.encode() + request.body).hexdigest()
+        request_id = request.value(b"damaskramp-request-id").decode()
+        team = request.value(b"damaskramp-team").decode()
+        fleet.executions.append(
+            Execution(self._node.host, team, request_id, fleet.timers.now, digest)
+        )
+        await fleet.sleep(fleet.between(0.0, 2 * fleet.service_seconds))
+        if fate < 3 * fleet.backend_faults:
+            return Error(TransportError(TransportErrorKind.BROKEN, True))
+        body = orjson.dumps({"id": request_id, "digest": digest})
+        return Ok(HttpResponse(200, (), body))
+
+
+class FakePeers:
+    """Calls to executing nodes."""
+
+    def __init__(self, node: "FakeNode") -> None:
+        self._node = node
+
+    async def execute(self, member: Member, call: Call) -> Reply:
+        """Have another node run a call."""
+        fleet = self._node.fleet
+        await self._node.thawed()
+        target = fleet.reach(self._node, member.peer)
+        if target is None:
+            return Reply.not_run(Reason.CONNECT_FAILED)
+        reply = await fleet.exchange(
+            self._node, target, lambda: target.executor.execute(call)
+        )
+        return reply or Reply.unknown(Reason.ANSWER_LOST)
+
+
+class FakeMessages(HomeMessages):
+    """Messages between homes, with loss and duplicates."""
+
+    def __init__(self, node: "FakeNode") -> None:
+        self._node = node
+
+    async def run(self, peer: str, home_call: HomeCall) -> Reply | None:
+        """Have a home run a call."""
+        fleet = self._node.fleet
+        await self._node.thawed()
+        target = fleet.reach(self._node, peer)
+        if target is None:
+            return None
+        if fleet.chance(fleet.duplicates):
+            target.spawn(target.home.run(home_call))
+        reply = await fleet.exchange(
+            self._node, target, lambda: target.home.run(home_call)
+        )
+        return reply or Reply.unknown(Reason.ANSWER_LOST)
+
+    async def copy(self, peer: str, copy: ClaimCopy, timeout: float) -> CopyResult:
+        """Have a node keep a copy."""
+        fleet = self._node.fleet
+        await self._node.thawed()
+        target = fleet.reach(self._node, peer)
+        if target is None:
+            return CopyResult.LOST
+
+        async def keep() -> CopyResult:
+            return target.home.keep_copy(copy)
+
+        return await fleet.exchange(self._node, target, keep) or CopyResult.LOST
+
+
+class FakeNode:
+    """One node, wired as the daemon but for sockets."""
+
+    def __init__(self, fleet: "FakeFleet", host: str, zone: str) -> None:
+        self.fleet = fleet
+        self.host = HostId(host)
+        self.zone = ZoneName(zone)
+        self.peer = f"127.0.0.1:{9000 + fleet.next_number()}"
+        self.incarnation = Incarnation(int(fleet.timers.wall_now * 1e6))
+        self.alive = True
+        self.frozen = False
+        self.view: tuple[Member, ...] = ()
+        self.members: Section[MemberTable] = Section("members", MemberTable())
+        self.member = Member(
+            self.host,
+            self.zone,
+            self.peer,
+            ServiceName("slots"),
+            incarnation=self.incarnation,
+        )
+        self._tasks: set[asyncio.Task] = set()
+        self._build()
+
+    def _build(self) -> None:
+        timers = self.fleet.timers
+        settings = NodeSettings.model_validate(
+            {
+                "node": {"host": self.host, "zone": self.zone},
+                "listen": dict.fromkeys(("http", "peer", "admin"), "127.0.0.1:1"),
+                "backend": {"service": "slots", "address": "127.0.0.1:1"},
+                "platform": {"address": "127.0.0.1:1"},
+                "trust": {"public_keys": ["0" * 64]},
+                "dedup": DedupSettings(clock_skew_seconds=self.fleet.clock_skew),
+            }
+        )
+        self.bundle: Section[BundleView | None] = Section("bundle", self.fleet.bundle)
+        self.ownership = FakeOwnership(self)
+        self.mint = IdMint(
+            timers, self.zone, self.host, self.incarnation, self.host.encode()
+        )
+        telemetry = Telemetry(Section("classes", ("all",)))
+        contexts = ContextTable()
+        self.ledger = ExecutionLedger(timers, lambda: self.home.retention(), 10_000)
+        self.executor = Executor(
+            settings,
+            timers,
+            self.bundle,
+            Section("lifecycle", Lifecycle.SERVING),
+            FixedAdmission(8),
+            FakeBackend(self),
+            contexts,
+            telemetry,
+            ReleaseGuard(self.zone, self.ledger, self.ownership),
+        )
+        balancer = RoundRobin(self.zone)
+        dispatcher = Dispatcher(
+            self.host, timers, self.members, balancer, self.executor, FakePeers(self)
+        )
+        messages = FakeMessages(self)
+        self.home = Home(
+            settings,
+            timers,
+            self.incarnation,
+            self.bundle,
+            self.ownership,
+            self.mint,
+            dispatcher,
+            messages,
+        )
+        self.home.set_bundle(self.fleet.bundle)
+        self.router = HomeRouter(
+            settings, self.members, self.ownership, self.mint, self.home, messages
+        )
+        self.entry = Entry(
+            settings,
+            timers,
+            self.bundle,
+            contexts,
+            FakeLimiter(self.fleet),
+            dispatcher,
+            telemetry,
+            self.router,
+            self.mint,
+        )
+
+    def set_view(self, zone: tuple[Member, ...], everyone: list[Member]) -> None:
+        """Take a new view of the zone and of all members."""
+        self.view = zone
+        self.members.replace(MemberTable(everyone))
+        self.home.ranges.observe_all()
+
+    async def thawed(self) -> None:
+        """Return once the process runs; a dead one never does."""
+        while self.frozen or not self.alive:
+            await self.fleet.sleep(STEP_SECONDS)
+
+    def spawn(self, coroutine: object) -> asyncio.Task:
+        """Run something as part of this process."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def kill(self) -> None:
+        """End the process with all that it was doing."""
+        self.alive = False
+        for task in [*self._tasks, *self.home._tasks]:
+            task.cancel()
+        self.home.close()
+
+
+@dataclass
+class _Cut:
+    until: float = 0.0
+
+
+class FakeFleet:
+    """Two zones of three nodes with faults drawn from a seed."""
+
+    def __init__(
+        self,
+        seed: int = 0,
+        bundle: BundleView | None = None,
+        clock_skew: float = 0.5,
+    ) -> None:
+        self.timers = VirtualTimers()
+        self.generator = np.random.default_rng(seed)
+        self.clock_skew = clock_skew
+        self.bundle = bundle or bundle_view()
+        self.executions: list[Execution] = []
+        self.over_rate = self.backend_faults = self.duplicates = 0.0
+        self.service_seconds = 0.05
+        self._cut = _Cut()
+        self._number = 0
+        self._zone_views: dict[str, tuple[Member, ...]] = {}
+        self.nodes: dict[str, FakeNode] = {}
+        self._lagging: set[str] = set()
+
+    def build(self) -> None:
+        """Start all nodes; needs a running loop."""
+        for zone in ZONES:
+            for position in range(HOSTS_A_ZONE):
+                host = f"{zone}-{position}"
+                self.nodes[host] = FakeNode(self, host, zone)
+        self.update_views()
+
+    def next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    def draw(self) -> float:
+        return float(self.generator.random())
+
+    def chance(self, share: float) -> bool:
+        return self.draw() < share
+
+    def between(self, low: float, high: float) -> float:
+        return float(self.generator.uniform(low, high))
+
+    def pick(self, items: list) -> object:
+        return items[int(self.generator.integers(len(items)))]
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep in virtual time."""
+        done = asyncio.get_running_loop().create_future()
+        self.timers.after(seconds, lambda: done.done() or done.set_result(None))
+        await done
+
+    async def advance(self, seconds: float) -> None:
+        """Let virtual time pass, running all that becomes due."""
+        end = self.timers.now + seconds - 1e-9
+        while self.timers.now < end:
+            for _ in range(TURNS_A_STEP):
+                await asyncio.sleep(0)
+            self.timers.advance(STEP_SECONDS)
+        for _ in range(TURNS_A_STEP):
+            await asyncio.sleep(0)
+
+    async def settle(self, task: asyncio.Task, seconds: float = 10.0) -> object:
+        """Let time pass until a task is done."""
+        end = self.timers.now + seconds
+        while not task.done() and self.timers.now < end:
+            await self.advance(STEP_SECONDS)
+        return task.result()
+
+    async def call(self, host: str, request: HttpRequest) -> HttpResponse:
+        """Send a request to an entry node and let time pass until its answer."""
+        node = self.nodes[host]
+        return await self.settle(node.spawn(node.entry.handle(request)))
+
+    def update_views(self) -> None:
+        """Tell every node that is not frozen who is active."""
+        alive = [n for n in self.nodes.values() if n.alive]
+        everyone = [node.member for node in alive]
+        for node in alive:
+            if node.frozen or node.host in self._lagging:
+                continue
+            zone = tuple(
+                other.member
+                for other in alive
+                if other.zone == node.zone and other.host not in self._lagging
+            )
+            node.set_view(zone, everyone)
+
+    def cut(self, seconds: float) -> None:
+        """Cut the two zones off from each other."""
+        self._cut.until = max(self._cut.until, self.timers.now + seconds)
+
+    def kill(self, host: str) -> None:
+        """Kill a node; its neighbours see it at once."""
+        self.nodes[host].kill()
+        self.update_views()
+
+    def restart(self, host: str) -> None:
+        """Start a new incarnation of a dead node."""
+        zone = self.nodes[host].zone
+        self.nodes[host] = FakeNode(self, host, zone)
+        self.update_views()
+
+    async def freeze(self, host: str, seconds: float, takeover: bool) -> None:
+        """Freeze a node; after a takeover it wakes with its old view."""
+        node = self.nodes[host]
+        if not node.alive or node.frozen:
+            return
+        node.frozen = True
+        if takeover:
+            self._lagging.add(node.host)
+            self.update_views()
+        await self.sleep(seconds)
+        node.frozen = False
+        if takeover:
+            await self.sleep(6 * STEP_SECONDS)
+            # It notices that it stood still, and counts itself new again.
+            self._lagging.discard(node.host)
+            if node.alive:
+                node.view = ()
+                node.home.ranges.observe_all()
+                node.ownership.since = self.timers.now
+                self.update_views()
+
+    def reach(self, source: FakeNode, peer: str) -> FakeNode | None:
+        """Node at an address, where a connection can be made."""
+        target = next((n for n in self.nodes.values() if n.peer == peer), None)
+        if target is None or not target.alive or self._is_cut(source, target):
+            return None
+        return target
+
+    async def exchange(
+        self, source: FakeNode, target: FakeNode, handle: object
+    ) -> object:
+        """Deliver a message and bring the reply back; None where it is lost."""
+        await self.sleep(self.between(0.0, 2 * STEP_SECONDS))
+        if self._is_cut(source, target) or not target.alive:
+            return None
+
+        async def deliver() -> object:
+            await target.thawed()
+            return await handle()
+
+        task = target.spawn(deliver())
+        waited = await self._wait(task, 1.0)
+        if not waited or task.cancelled() or self._is_cut(source, target):
+            return None
+        return task.result()
+
+    async def _wait(self, task: asyncio.Task, seconds: float) -> bool:
+        """Wait in virtual time; an abandoned call is cancelled at its server."""
+        expired = asyncio.get_running_loop().create_future()
+        self.timers.after(seconds, lambda: expired.done() or expired.set_result(None))
+        await asyncio.wait({task, expired}, return_when=asyncio.FIRST_COMPLETED)
+        if not task.done():
+            task.cancel()
+            return False
+        return True
+
+    def _is_cut(self, source: FakeNode, target: FakeNode) -> bool:
+        return source.zone != target.zone and self.timers.now < self._cut.until
+
+    def owner_of(self, key: bytes, zone: str) -> FakeNode:
+        """Node that owns the range of a claim key."""
+        node = next(n for n in self.nodes.values() if n.alive and n.zone == zone)
+        return self.nodes[node.ownership.owner(thing_of(key)).host]
+
+    def close(self) -> None:
+        """End all tasks."""
+        for node in self.nodes.values():
+            node.kill()
--- a/damaskramp/testing/tests/test_history.py
+++ b/damaskramp/testing/tests/test_history.py
@@ -94,6 +94,13 @@
         self.assertEqual({ViolationKind.WITHDRAWN_KEY}, self.kinds(history))
         self.assertEqual(set(), self.kinds(history, bound=0.5))
 
+    def test_attempt_without_id_explains_one_run(self):
+        unnamed = replace(SENT, request_id="")
+        second = replace(RAN, request_id="id-2")
+        self.assertEqual(set(), self.kinds(History([unnamed], [], [RAN])))
+        history = History([unnamed], [], [RAN, second])
+        self.assertEqual({ViolationKind.NOT_ASKED_FOR}, self.kinds(history))
+
     def test_run_that_nobody_asked_for_is_found(self):
         late = replace(RAN, at=2.5)
         for history in (History([], [], [RAN]), History([SENT], [ANSWERED], [late])):
