A home asks a second node before it says "not run"

A home that reached no holder of copies said the same without knowing more. Ruled out: trusting the home's own view of ownership, which is what is stale. Change: a refusal of an own id is confirmed by a second node (a probe of the copy); without one it is unknown, but for marked first attempts. A claim that was never released is withdrawn.

--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -48,6 +48,7 @@
 MICROSECONDS = 1_000_000
 ADMIN_CONNECTIONS = 64
 ID_SECRET_BYTES = 32
+DEDUP_GAUGE_SECONDS = 5.0
 
 
 class Node:
@@ -176,6 +177,13 @@
             self._home,
             messages,
         )
+        self._timers.every(DEDUP_GAUGE_SECONDS, self._publish_dedup)
+
+    def _publish_dedup(self) -> None:
+        self._telemetry.value("dedup_claims", len(self._home.claims))
+        self._telemetry.value("dedup_copies", len(self._home.copies))
+        self._telemetry.value("dedup_answer_bytes", self._home.claims.answer_bytes)
+        self._telemetry.value("dedup_executions", len(self._ledger))
 
     def _repeat_window(self) -> float:
         return self._home.retention()
@@ -254,6 +262,12 @@
                 "limit": load.limit,
                 "queued": load.queued,
             },
+            "dedup": {
+                "claims": len(self._home.claims),
+                "copies": len(self._home.copies),
+                "answer_bytes": self._home.claims.answer_bytes,
+                "executions": len(self._ledger),
+            },
         }
 
     def _watch_bundle(self) -> BundleWatch:
--- a/damaskramp/node/dispatch.py
+++ b/damaskramp/node/dispatch.py
@@ -7,7 +7,7 @@
 from damaskramp.membership import Member, MemberTable
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.execution import Executor
-from damaskramp.node.home import Releaser
+from damaskramp.node.home_messages import Releaser
 from damaskramp.node.peers import PeerClient
 
 __all__ = ["Dispatcher"]
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -26,7 +26,7 @@
     end_to_end,
     strip_private,
 )
-from damaskramp.node.home import HomeCall
+from damaskramp.node.home_messages import HomeCall
 from damaskramp.node.home_router import HomeRouter
 from damaskramp.node.identities import (
     ISSUE_TARGET,
--- a/damaskramp/node/home.py
+++ b/damaskramp/node/home.py
@@ -1,9 +1,9 @@
 """Home of request ids: claims before release, answers for repeats."""
 
 import asyncio
-from abc import ABC, abstractmethod
-from dataclasses import dataclass, replace
-from enum import Enum
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from dataclasses import replace
 
 from damaskramp.bundle import BundleView
 from damaskramp.config import NodeSettings
@@ -30,106 +30,26 @@
     fingerprint,
     may_release_own_id,
     parse_request_id,
-    thing_of,
 )
 from damaskramp.node.calls import Call, HomeStamp, Reply
+from damaskramp.node.home_copies import ClaimCopies
+from damaskramp.node.home_messages import (
+    UNREACHABLE_HINT_SECONDS,
+    ClaimCopy,
+    CopyResult,
+    HomeCall,
+    HomeMessages,
+    Releaser,
+    unreachable,
+)
 from damaskramp.ownership import Owner, Ownership
 
-__all__ = [
-    "ClaimCopy",
-    "CopyResult",
-    "Home",
-    "HomeCall",
-    "HomeMessages",
-    "Releaser",
-    "unreachable",
-]
+__all__ = ["Home"]
 
 RUNNING_HINT_SECONDS = 0.2
-UNREACHABLE_HINT_SECONDS = 1.0
-COPY_SECONDS = 0.5
-COPY_CANDIDATES = 3
 DEFAULT_RETENTION_SECONDS = 600.0
 
 
-@dataclass(frozen=True, slots=True)
-class HomeCall:
-    """A call on its way to the home of its request id.
-
-    Attributes
-    ----------
-    scope : str
-        Ids of different scopes never meet.
-    first_attempt : bool
-        Whether the caller states that it never sent this id before.
-    look_only : bool
-        Whether to tell what is known of the id and release nothing.
-    """
-
-    call: Call
-    scope: str
-    first_attempt: bool = False
-    look_only: bool = False
-
-
-class CopyResult(Enum):
-    """What became of the copy of a claim.
-
-    ``FENCED`` tells that the sender is not the owner of the range any more,
-    ``KNOWN`` that another home claimed the id before.
-    """
-
-    LOST = 0
-    KEPT = 1
-    FENCED = 2
-    KNOWN = 3
-
-
-@dataclass(frozen=True, slots=True)
-class ClaimCopy:
-    """A claim for a second node to keep.
-
-    Attributes
-    ----------
-    home : Owner
-        Node that made the claim.
-    """
-
-    key: ClaimKey
-    fingerprint: bytes
-    home: Owner
-
-
-class Releaser(ABC):
-    """Runs a claimed call on some backend server."""
-
-    @abstractmethod
-    async def dispatch(self, call: Call) -> Reply:
-        """Run a call."""
-
-
-class HomeMessages(ABC):
-    """Messages between entry nodes, homes and holders of copies."""
-
-    @abstractmethod
-    async def run(self, peer: str, home_call: HomeCall) -> Reply | None:
-        """Have a home run a call; None where it was provably not sent."""
-
-    @abstractmethod
-    async def copy(self, peer: str, copy: ClaimCopy, timeout: float) -> CopyResult:
-        """Have a node keep a copy of a claim."""
-
-
-def unreachable(first_attempt: bool) -> Reply:
-    """Reply where the home of an id can't be asked.
-
-    Only a caller that sends an id for the first time can be told that it has not
-    run: nobody here knows what became of earlier attempts.
-    """
-    outcome = Outcome.NOT_RUN if first_attempt else Outcome.UNKNOWN
-    return Reply(outcome, Reason.HOME_UNREACHABLE, retry_after=UNREACHABLE_HINT_SECONDS)
-
-
 class Home:
     """Claims ids homed at this node and releases each at most once.
 
@@ -171,7 +91,6 @@
         self._ownership = ownership
         self._mint = mint
         self._releaser = releaser
-        self._messages = messages
         limits = settings.dedup
         self._claims: ClaimTable[Reply] = ClaimTable(
             timers, self.retention, limits.claims, limits.answer_bytes
@@ -181,6 +100,14 @@
         )
         self._ranges = RangeHistory(timers, ownership)
         self._zones = HomeZones(timers)
+        self._held = ClaimCopies(
+            Owner(HostId(settings.node.host), incarnation, settings.listen.peer),
+            ownership,
+            self._ranges,
+            self._claims,
+            self._copies,
+            messages,
+        )
         self._held_retention = 0.0
         self._retention_floor = float("-inf")
         self._tasks: set[asyncio.Task] = set()
@@ -232,37 +159,27 @@
         known = self._known(home_call, parsed.ok, key, mark)
         if known is not None:
             return known.with_retries(context.retries_left)
-        if home_call.look_only:
-            return Reply.not_run(Reason.NONE)
-        if self._claims.full:
-            return Reply.not_run(Reason.OVERLOADED, UNREACHABLE_HINT_SECONDS)
+        if home_call.look_only or self._claims.full:
+            refusal = Reply.not_run(Reason.OVERLOADED, UNREACHABLE_HINT_SECONDS)
+            if isinstance(parsed.ok, IssuedId):
+                return refusal
+            return await self._confirmed(home_call, key, mark) or refusal
         self._claims.claim(key, mark)
         task = asyncio.get_running_loop().create_task(
             self._release(home_call, parsed.ok, key, mark)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        # The request goes on when its caller leaves: a repeat finds its answer.
-        return await asyncio.shield(task)
+        try:
+            # The request goes on when its caller leaves: a repeat finds its answer.
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(self._discard_tail)
+            raise
 
     def keep_copy(self, copy: ClaimCopy) -> CopyResult:
-        """Keep a copy of another home's claim.
-
-        A home that acts on old beliefs is stopped here: this node has acknowledged
-        the newer owner of the range.
-        """
-        if not self._ownership.may_release(thing_of(copy.key), copy.home):
-            return CopyResult.FENCED
-        if self._claims.get(copy.key) is not None:
-            return CopyResult.KNOWN
-        if self._copies.get(copy.key) is not None:
-            same = self._copies.answer(copy.key) == copy.home
-            return CopyResult.KEPT if same else CopyResult.KNOWN
-        if self._copies.full:
-            return CopyResult.LOST
-        self._copies.claim(copy.key, copy.fingerprint)
-        self._copies.settle(copy.key, ClaimState.UNKNOWN, copy.home)
-        return CopyResult.KEPT
+        """Keep a copy of another home's claim."""
+        return self._held.keep(copy)
 
     async def drain(self, seconds: float) -> None:
         """Wait for released requests whose callers have left."""
@@ -357,31 +274,50 @@
             return Reply.unknown(Reason.ANSWER_LOST, detail)
         return kept
 
+    async def _confirmed(
+        self, home_call: HomeCall, key: ClaimKey, mark: bytes
+    ) -> Reply | None:
+        """Refusal where another node does not confirm that this one is the home.
+
+        A home that acts on old beliefs can't know that an id has not run.
+        """
+        return await self._held.send(key, mark, home_call.first_attempt, probe=True)
+
     async def _release(
         self, home_call: HomeCall, parsed: IssuedId | OwnId, key: ClaimKey, mark: bytes
     ) -> Reply:
-        state = ClaimState.UNKNOWN
         reply = Reply.unknown(Reason.ANSWER_LOST)
+        released = False
         try:
-            refusal = None
             if isinstance(parsed, OwnId):
-                refusal = await self._copy(key, mark)
-            reply = refusal or await self._releaser.dispatch(
-                self._stamped(home_call.call, parsed, key)
-            )
-            if reply.outcome is Outcome.ANSWER:
-                state = ClaimState.ANSWERED
+                refusal = await self._held.send(key, mark, home_call.first_attempt)
+                if refusal is not None:
+                    return refusal
+            released = True
+            call = self._stamped(home_call.call, parsed, key)
+            reply = await self._releaser.dispatch(call)
         finally:
-            self._settle(key, state, reply)
+            self._settle(key, reply, released)
         return self._still_true(reply, parsed, key)
 
-    def _settle(self, key: ClaimKey, state: ClaimState, reply: Reply) -> None:
-        if reply.outcome is Outcome.NOT_RUN:
+    def _discard_tail(self, task: asyncio.Task) -> None:
+        """Close an answer that nobody reads any more."""
+        if task.cancelled() or task.exception() or task.result().tail is None:
+            return
+        closing = asyncio.get_running_loop().create_task(_close(task.result().tail))
+        self._tasks.add(closing)
+        closing.add_done_callback(self._tasks.discard)
+
+    def _settle(self, key: ClaimKey, reply: Reply, released: bool) -> None:
+        if not released or reply.outcome is Outcome.NOT_RUN:
             self._claims.withdraw(key)
-        elif state is ClaimState.ANSWERED and reply.tail is None:
-            self._claims.settle(key, state, replace(reply, load=None), _size(reply))
+        elif reply.outcome is not Outcome.ANSWER:
+            self._claims.settle(key, ClaimState.UNKNOWN)
+        elif reply.tail is None:
+            kept = replace(reply, load=None)
+            self._claims.settle(key, ClaimState.ANSWERED, kept, _size(reply))
         else:
-            self._claims.settle(key, state)
+            self._claims.settle(key, ClaimState.ANSWERED)
 
     def _still_true(
         self, reply: Reply, parsed: IssuedId | OwnId, key: ClaimKey
@@ -393,30 +329,6 @@
             return reply
         return replace(reply, outcome=Outcome.UNKNOWN)
 
-    async def _copy(self, key: ClaimKey, mark: bytes) -> Reply | None:
-        """Copy a claim to the next node in rank; the refusal where none took it."""
-        others = self._others(thing_of(key))
-        own = Owner(HostId(self._settings.node.host), self._incarnation, "")
-        copy = ClaimCopy(key, mark, own)
-        result = CopyResult.LOST if others else CopyResult.KEPT
-        for owner in others:
-            result = await self._messages.copy(owner.peer, copy, COPY_SECONDS)
-            if result is not CopyResult.LOST:
-                break
-        if result is CopyResult.FENCED:
-            # A newer owner may already have released it.
-            return Reply.unknown(Reason.HOME_UNREACHABLE)
-        if result is CopyResult.KNOWN:
-            return Reply.unknown(Reason.HISTORY_LOST, "claimed by a home that is gone")
-        if result is CopyResult.LOST or self._ranges.owned_since(key) is None:
-            return Reply.not_run(Reason.HOME_UNREACHABLE, UNREACHABLE_HINT_SECONDS)
-        return None
-
-    def _others(self, thing: str) -> list[Owner]:
-        own = self._settings.node.host
-        ranked = self._ownership.successors(thing, COPY_CANDIDATES)
-        return [owner for owner in ranked if owner.host != own]
-
     def _stamped(self, call: Call, parsed: IssuedId | OwnId, key: ClaimKey) -> Call:
         zone = ZoneName(self._settings.node.zone)
         stamp = HomeStamp(
@@ -427,6 +339,14 @@
         return replace(call, context=replace(call.context, claim=key, home=stamp))
 
 
+async def _close(tail: AsyncIterator[bytes]) -> None:
+    """Close a tail; one that was never begun has to be begun for that."""
+    with suppress(Exception):
+        async for _ in tail:
+            break
+        await tail.aclose()
+
+
 def _fingerprint(call: Call) -> bytes:
     request = call.request
     return fingerprint(request.method, request.target, request.body)
--- a/damaskramp/node/home_peers.py
+++ b/damaskramp/node/home_peers.py
@@ -7,7 +7,8 @@
 from damaskramp.core import HostId, Incarnation, TimerService
 from damaskramp.node.calls import Reply
 from damaskramp.node.codec import decode_call, encode_call, encode_head
-from damaskramp.node.home import ClaimCopy, CopyResult, Home, HomeCall, HomeMessages
+from damaskramp.node.home import Home
+from damaskramp.node.home_messages import ClaimCopy, CopyResult, HomeCall, HomeMessages
 from damaskramp.node.peers import FAILURES, PeerPool, exchange
 from damaskramp.ownership import Owner
 from damaskramp.wire import dedup_pb2, peer_pb2
@@ -49,6 +50,7 @@
             fingerprint=copy.fingerprint,
             home_host=copy.home.host,
             home_incarnation=copy.home.incarnation,
+            probe=copy.probe,
         )
         stub = HomeStub(self._pool.channel(peer))
         try:
@@ -105,7 +107,7 @@
         home = Owner(
             HostId(message.home_host), Incarnation(message.home_incarnation), ""
         )
-        copy = ClaimCopy(message.claim, message.fingerprint, home)
+        copy = ClaimCopy(message.claim, message.fingerprint, home, message.probe)
         result = self._home.keep_copy(copy)
         await stream.send_message(dedup_pb2.ClaimCopied(result=result.value))
 
--- a/damaskramp/node/home_router.py
+++ b/damaskramp/node/home_router.py
@@ -12,7 +12,8 @@
 )
 from damaskramp.membership import MemberState, MemberTable
 from damaskramp.node.calls import Reply
-from damaskramp.node.home import Home, HomeCall, HomeMessages, unreachable
+from damaskramp.node.home import Home
+from damaskramp.node.home_messages import HomeCall, HomeMessages, unreachable
 from damaskramp.ownership import Ownership, rank_members
 
 __all__ = ["HomeRouter"]
--- a/damaskramp/node/tests/fake_fleet.py
+++ b/damaskramp/node/tests/fake_fleet.py
@@ -10,6 +10,7 @@
 import hashlib
 from dataclasses import dataclass
 from datetime import UTC, datetime
+from enum import Enum
 
 import numpy as np
 import orjson
@@ -46,7 +47,8 @@
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
-from damaskramp.node.home import ClaimCopy, CopyResult, Home, HomeCall, HomeMessages
+from damaskramp.node.home import Home
+from damaskramp.node.home_messages import ClaimCopy, CopyResult, HomeCall, HomeMessages
 from damaskramp.node.home_router import HomeRouter
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.releases import ReleaseGuard
@@ -55,7 +57,7 @@
 from damaskramp.quota import RateLimiter
 from damaskramp.testing.history import Execution
 
-__all__ = ["KEYS", "FakeFleet", "FakeNode", "bundle_view"]
+__all__ = ["KEYS", "BackendFate", "FakeFleet", "FakeNode", "bundle_view"]
 
 STEP_SECONDS = 0.05
 TURNS_A_STEP = 12
@@ -100,6 +102,20 @@
     return BundleView(sign_bundle(parse_bundle_source(text, "test").ok, SIGNER))
 
 
+class BackendFate(Enum):
+    """What becomes of every request at a backend server."""
+
+    CONNECT_FAILED = 0.5
+    SHED = 1.5
+    BROKEN = 2.5
+    ANSWERED = 3.5
+
+    @property
+    def share(self) -> float:
+        """Place among the drawn fates."""
+        return self.value
+
+
 class FakeLimiter(RateLimiter):
     """Refuses a share of the requests."""
 
@@ -156,11 +172,12 @@
     ) -> Result[HttpResponse, TransportError]:
         """Answer one request after some virtual time."""
         fleet = self._node.fleet
-        fate = fleet.draw()
-        if fate < fleet.backend_faults:
+        fate = fleet.draw() if fleet.fate is None else fleet.fate.share
+        faults = fleet.backend_faults if fleet.fate is None else 1.0
+        if fate < faults:
             return Error(TransportError(TransportErrorKind.CONNECT, False))
         await self._node.thawed()
-        if fate < 2 * fleet.backend_faults:
+        if fate < 2 * faults:
             return Ok(HttpResponse(503))
         digest = hashlib.sha256(request.target.encode() + request.body).hexdigest()
         request_id = request.value(b"damaskramp-request-id").decode()
@@ -168,8 +185,11 @@
         fleet.executions.append(
             Execution(self._node.host, team, request_id, fleet.timers.now, digest)
         )
-        await fleet.sleep(fleet.between(0.0, 2 * fleet.service_seconds))
-        if fate < 3 * fleet.backend_faults:
+        seconds = fleet.between(0.0, 2 * fleet.service_seconds)
+        await fleet.sleep(min(seconds, timeout))
+        if seconds >= timeout:
+            return Error(TransportError(TransportErrorKind.TIMEOUT, True))
+        if fate < 3 * faults:
             return Error(TransportError(TransportErrorKind.BROKEN, True))
         body = orjson.dumps({"id": request_id, "digest": digest})
         return Ok(HttpResponse(200, (), body))
@@ -360,6 +380,9 @@
         self.executions: list[Execution] = []
         self.over_rate = self.backend_faults = self.duplicates = 0.0
         self.service_seconds = 0.05
+        self.fate: BackendFate | None = None
+        self.lose_requests_to: set[str] = set()
+        self.lose_replies_of: set[str] = set()
         self._cut = _Cut()
         self._number = 0
         self._zone_views: dict[str, tuple[Member, ...]] = {}
@@ -482,6 +505,8 @@
         await self.sleep(self.between(0.0, 2 * STEP_SECONDS))
         if self._is_cut(source, target) or not target.alive:
             return None
+        if target.host in self.lose_requests_to:
+            return None
 
         async def deliver() -> object:
             await target.thawed()
@@ -489,7 +514,8 @@
 
         task = target.spawn(deliver())
         waited = await self._wait(task, 1.0)
-        if not waited or task.cancelled() or self._is_cut(source, target):
+        lost = target.host in self.lose_replies_of or self._is_cut(source, target)
+        if not waited or task.cancelled() or lost:
             return None
         return task.result()
 
--- a/damaskramp/node/tests/test_at_most_once_runs.py
+++ b/damaskramp/node/tests/test_at_most_once_runs.py
@@ -200,7 +200,8 @@
     def test_runs_fail_without_claims(self):
         claim_anyway = mock.patch.object(ClaimTable, "claim", _claim_anyway)
         keep_all = mock.patch.object(ClaimTable, "sweep")
-        with claim_anyway, keep_all, _without_guard():
+        withdraw = mock.patch.object(ClaimTable, "withdraw")
+        with claim_anyway, keep_all, withdraw, _without_guard():
             kinds = self.found_without(
                 mock.patch.object(Home, "_known", return_value=None)
             )
