Client for callers, and tests of ids, claims and accounting

Cause: a caller had to follow the outcomes by hand; hypothesis found an id released although a claim as old as it had been forgotten. Ruled out: a new id after "unknown", which is a second request. Change: damaskramp.client; an id older than a forgotten claim is never released; a marked first attempt of an id whose home is gone is told "not run".

--- /dev/null
+++ b/damaskramp/client/__init__.py
@@ -0,0 +1,13 @@
+"""Client for callers: takes an id, retries, and follows the outcomes."""
+
+from damaskramp.client.caller import Caller, CallerSettings, HttpTransport, Transport
+from damaskramp.client.results import CallResult, read_result
+
+__all__ = [
+    "CallResult",
+    "Caller",
+    "CallerSettings",
+    "HttpTransport",
+    "Transport",
+    "read_result",
+]
--- a/damaskramp/dedup/accounting.py
+++ b/damaskramp/dedup/accounting.py
@@ -66,8 +66,10 @@
         return False
     if age > standing.retention - standing.clock_skew:
         return False
-    known_since = max(standing.accounts_since, standing.forgotten_until)
-    if standing.now - age - standing.clock_skew > known_since:
+    earliest = standing.now - age - standing.clock_skew
+    if earliest <= standing.forgotten_until:
+        return False
+    if earliest > standing.accounts_since:
         return True
     complete = standing.now - standing.accounts_since >= standing.retention
     return complete or standing.first_start
--- /dev/null
+++ b/damaskramp/dedup/tests/test_accounting.py
@@ -0,0 +1,132 @@
+"""An id is released only where no earlier release can have been forgotten."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damaskramp.core import HostId, Incarnation, VirtualTimers
+from damaskramp.dedup import (
+    HomeZones,
+    OwnId,
+    RangeHistory,
+    Standing,
+    claim_key,
+    may_release_own_id,
+)
+from damaskramp.ownership import Owner, Ownership
+from damaskramp.testing import LoopTestCase
+
+EPOCH = 1_700_000_000.0
+RETENTION = 60.0
+SKEW = 2.0
+
+
+def uuid7(seconds: float) -> str:
+    """UUID of version 7 issued at a wall time."""
+    stem = f"{int(seconds * 1000):012x}"
+    return f"{stem[:8]}-{stem[8:]}-7000-8000-000000000001"
+
+
+def standing(now: float, since: float, **more: object) -> Standing:
+    """Standing of a home at monotonic time `now`."""
+    return Standing(now, EPOCH + now, since, RETENTION, SKEW, **more)
+
+
+class FixedOwnership(Ownership):
+    """Ownership whose answer is set by the test."""
+
+    def __init__(self) -> None:
+        self.mine = False
+        self.since = 0.0
+
+    @property
+    def active(self) -> bool:
+        return True
+
+    @property
+    def active_since(self) -> float:
+        return self.since
+
+    def successors(self, thing: str, count: int) -> tuple[Owner, ...]:
+        return (Owner(HostId("h"), Incarnation(1), ""),)
+
+    def owns(self, thing: str) -> bool:
+        return self.mine
+
+    def may_release(self, thing: str, releaser: Owner) -> bool:
+        return True
+
+
+class AccountingTests(LoopTestCase):
+    @settings(derandomize=True, deadline=None, max_examples=500)
+    @given(
+        st.floats(0, 200),
+        st.floats(0, 200),
+        st.floats(-SKEW, SKEW),
+        st.floats(0, 50),
+        st.booleans(),
+    )
+    def test_time_in_an_id_never_excuses_an_older_release(
+        self, issued, since, skew, delay, forgotten
+    ):
+        # An earlier home, or this one, ran the id the moment it was issued.
+        now = max(issued, since) + delay
+        last = issued if forgotten else float("-inf")
+        if not forgotten and issued > since:
+            return
+        if now - issued > RETENTION - SKEW:
+            return
+        told = standing(now, since, forgotten_until=last)
+        self.assertFalse(may_release_own_id(uuid7(EPOCH + issued + skew), False, told))
+
+    def test_new_ids_run_at_once_after_a_takeover(self):
+        told = standing(100.0, 95.0)
+        self.assertTrue(may_release_own_id(uuid7(EPOCH + 99.0), False, told))
+        self.assertFalse(may_release_own_id(uuid7(EPOCH + 96.0), False, told))
+        self.assertFalse(may_release_own_id(uuid7(EPOCH + 103.0), False, told))
+
+    def test_plain_ids_wait_for_the_retention_time(self):
+        self.assertFalse(may_release_own_id("own", False, standing(100.0, 95.0)))
+        self.assertTrue(may_release_own_id("own", False, standing(160.0, 95.0)))
+        self.assertTrue(may_release_own_id("own", True, standing(100.0, 95.0)))
+        first = standing(100.0, 95.0, first_start=True)
+        self.assertTrue(may_release_own_id("own", False, first))
+
+    def test_expired_id_never_runs(self):
+        told = standing(1000.0, 0.0)
+        self.assertFalse(may_release_own_id(uuid7(EPOCH + 900.0), False, told))
+
+    def test_lost_and_regained_range_counts_anew(self):
+        timers = VirtualTimers(10.0)
+        ownership = FixedOwnership()
+        ranges = RangeHistory(timers, ownership)
+        key = claim_key("clubs", "own")
+        self.assertIsNone(ranges.owned_since(key))
+        ownership.mine = True
+        self.assertEqual(10.0, ranges.owned_since(key))
+        timers.advance(5.0)
+        self.assertEqual(10.0, ranges.owned_since(key))
+        ownership.mine = False
+        ranges.observe_all()
+        ownership.mine = True
+        self.assertEqual(15.0, ranges.owned_since(key))
+        ownership.since = 17.0
+        self.assertEqual(17.0, ranges.owned_since(key))
+
+    def test_home_zone_follows_the_signed_list_only(self):
+        timers = VirtualTimers(10.0)
+        zones = HomeZones(timers)
+        zones.set_zones(("a", "b"))
+        ids = [OwnId(f"own-{number}") for number in range(200)]
+        homes = {own: zones.home(own, claim_key("t", own.text)) for own in ids}
+        self.assertEqual({"a", "b"}, set(homes.values()))
+        zones.set_zones(("b", "a"))
+        self.assertEqual(float("-inf"), zones.moved_at(ids[0], b"k"))
+        zones.set_zones(("a", "b", "c"))
+        for own, home in homes.items():
+            key = claim_key("t", own.text)
+            moved = zones.home(own, key) != home
+            expected = 10.0 if moved else float("-inf")
+            self.assertEqual(expected, zones.moved_at(own, key))
+            self.assertIn(zones.home(own, key), (home, "c"))
+        self.assertIsNone(zones.home(OwnId("drz1~d~x", "d"), b"k"))
+        self.assertEqual(10.0, zones.moved_at(OwnId("drz1~c~x", "c"), b"k"))
--- a/damaskramp/node/home.py
+++ b/damaskramp/node/home.py
@@ -40,6 +40,7 @@
     HomeCall,
     HomeMessages,
     Releaser,
+    history_lost,
     unreachable,
 )
 from damaskramp.ownership import Owner, Ownership
@@ -218,13 +219,13 @@
         self, home_call: HomeCall, issued: IssuedId, key: ClaimKey, mark: bytes
     ) -> Reply | None:
         if not self._mint.names_this(issued):
-            return Reply.unknown(Reason.HISTORY_LOST, "the home of this id is gone")
+            return history_lost(home_call.first_attempt, "the home is gone")
         if not self._mint.verify(home_call.scope, issued):
             return Reply.not_run(Reason.BAD_REQUEST, detail="no such request id")
         if self._claims.get(key) is not None:
             return self._repeat(key, mark)
         if self._mint.issued_at(issued) <= self._claims.forgotten_until:
-            return Reply.unknown(Reason.HISTORY_LOST, "this id has expired")
+            return history_lost(home_call.first_attempt, "this id has expired")
         return None
 
     def _is_home_zone(self, own_id: OwnId, key: ClaimKey) -> bool:
--- a/damaskramp/node/home_messages.py
+++ b/damaskramp/node/home_messages.py
@@ -16,6 +16,7 @@
     "HomeCall",
     "HomeMessages",
     "Releaser",
+    "history_lost",
     "unreachable",
 ]
 
@@ -93,6 +94,15 @@
         """Have a node keep a copy of a claim."""
 
 
+def history_lost(first_attempt: bool, detail: str) -> Reply:
+    """Reply for an id whose earlier attempts can't be accounted for.
+
+    It is not released now, so one that was never sent before has not run.
+    """
+    outcome = Outcome.NOT_RUN if first_attempt else Outcome.UNKNOWN
+    return Reply(outcome, Reason.HISTORY_LOST, detail=detail)
+
+
 def unreachable(first_attempt: bool) -> Reply:
     """Reply where the home of an id can't be asked.
 
--- a/damaskramp/node/home_router.py
+++ b/damaskramp/node/home_router.py
@@ -13,7 +13,12 @@
 from damaskramp.membership import MemberState, MemberTable
 from damaskramp.node.calls import Reply
 from damaskramp.node.home import Home
-from damaskramp.node.home_messages import HomeCall, HomeMessages, unreachable
+from damaskramp.node.home_messages import (
+    HomeCall,
+    HomeMessages,
+    history_lost,
+    unreachable,
+)
 from damaskramp.ownership import Ownership, rank_members
 
 __all__ = ["HomeRouter"]
@@ -70,7 +75,7 @@
         if member is None:
             return unreachable(home_call.first_attempt)
         if member.incarnation > issued.incarnation:
-            return Reply.unknown(Reason.HISTORY_LOST, "the home of this id is gone")
+            return history_lost(home_call.first_attempt, "the home is gone")
         return await self._send(member.peer, home_call)
 
     async def _run_own(self, home_call: HomeCall, own_id: OwnId) -> Reply:
--- a/damaskramp/node/identities.py
+++ b/damaskramp/node/identities.py
@@ -15,6 +15,7 @@
     HOME_ZONE,
     IDEMPOTENCY_KEY,
     NEXT_REQUEST_ID,
+    OUTCOME,
     REQUEST_ID,
     presented_keys,
 )
@@ -107,8 +108,11 @@
         team = _team(request, view)
         if team.is_error():
             return to_http(team.error)
-        own = ((REQUEST_ID, self._mint.issue(team.ok).encode()),)
-        fields = (*own, (HOME_ZONE, self._zone.encode()))
+        fields = (
+            (OUTCOME, Outcome.ANSWER.value.encode()),
+            (REQUEST_ID, self._mint.issue(team.ok).encode()),
+            (HOME_ZONE, self._zone.encode()),
+        )
         return HttpResponse(204, fields)
 
 
