--- a/damaskramp/http/client.py
+++ b/damaskramp/http/client.py
@@ -13,11 +13,18 @@
 import h11
 from expression import Error, Ok, Result
 
-from damaskramp.http.messages import HttpRequest, HttpResponse
+from damaskramp.http.messages import (
+    BODILESS_STATUSES,
+    BrokenAnswerError,
+    HttpRequest,
+    HttpResponse,
+)
 
 __all__ = ["HttpClient", "TransportError", "TransportErrorKind"]
 
 READ_BYTES = 64 * 1024
+TAIL_SECONDS = 30.0
+"""Longest pause within the rest of a large answer."""
 
 
 class TransportErrorKind(Enum):
@@ -63,7 +70,10 @@
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.h11.receive_data(await self.reader.read(READ_BYTES))
+            data = await self.reader.read(READ_BYTES)
+            if not data and self.h11.their_state is h11.SEND_RESPONSE:
+                raise ConnectionResetError("connection closed before the answer")
+            self.h11.receive_data(data)
 
 
 class HttpClient:
@@ -120,7 +130,7 @@
                 sent = True
                 connection.writer.write(data)
                 await connection.writer.drain()
-                response = await self._read(connection)
+                response = await self._read(connection, request.method)
         except TimeoutError:
             self._drop(connection)
             return Error(TransportError(TransportErrorKind.TIMEOUT, sent))
@@ -166,13 +176,16 @@
             data += connection.h11.send(h11.Data(data=request.body))
         return data + connection.h11.send(h11.EndOfMessage())
 
-    async def _read(self, connection: _Connection) -> HttpResponse:
+    async def _read(self, connection: _Connection, method: str) -> HttpResponse:
         head = await connection.next_event()
         while isinstance(head, h11.InformationalResponse):
             head = await connection.next_event()
         if not isinstance(head, h11.Response):
             raise ConnectionResetError("closed before an answer came")
         headers = tuple((bytes(name), bytes(value)) for name, value in head.headers)
+        if not _has_length(head, method):
+            # Its end could not be told from a connection that broke.
+            raise ConnectionAbortedError("answer without a length")
         body = bytearray()
         while True:
             event = await connection.next_event()
@@ -188,7 +201,7 @@
         finished = False
         try:
             while True:
-                event = await connection.next_event()
+                event = await self._next_of_tail(connection)
                 if isinstance(event, h11.EndOfMessage):
                     finished = True
                     break
@@ -199,6 +212,13 @@
             else:
                 self._drop(connection)
 
+    async def _next_of_tail(self, connection: _Connection) -> object:
+        try:
+            async with asyncio.timeout(TAIL_SECONDS):
+                return await connection.next_event()
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            raise BrokenAnswerError(str(error)) from error
+
     def _put_back(self, connection: _Connection) -> None:
         state = connection.h11
         done = state.our_state is h11.DONE and state.their_state is h11.DONE
@@ -207,3 +227,12 @@
             return
         state.start_next_cycle()
         self._idle.append(connection)
+
+
+def _has_length(head: h11.Response, method: str) -> bool:
+    """Whether the end of the answer shows (RFC 9112, section 6.3)."""
+    if method == "HEAD" or head.status_code in BODILESS_STATUSES:
+        return True
+    return any(
+        name in (b"content-length", b"transfer-encoding") for name, _ in head.headers
+    )
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -25,6 +25,7 @@
 from damaskramp.node.bundle_watch import BundleWatch
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
+from damaskramp.node.drain import GracefulDrain
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
 from damaskramp.node.home import Home
@@ -32,9 +33,11 @@
 from damaskramp.node.home_router import HomeRouter
 from damaskramp.node.host_watch import HostWatch
 from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
 from damaskramp.node.releases import ReleaseGuard
+from damaskramp.node.responses import refuse_unreadable
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.ownership import ListedOwnership
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
@@ -100,6 +103,7 @@
         classes: tuple[str, ...] = ()
         self._classes = board.create("classes", classes)
         self._telemetry = Telemetry(self._classes)
+        self._objectives = ObjectiveKeeper(self._timers, self._bundle)
 
     def _build_clients(self) -> None:
         settings = self._settings
@@ -146,6 +150,7 @@
             self._telemetry,
             self._homes,
             self._mint,
+            self._objectives,
         )
 
     def _build_dedup(self, zone: ZoneName) -> None:
@@ -197,17 +202,14 @@
             limits.header_seconds,
             limits.idle_seconds,
         )
-        self._http = HttpServer(bounds, self._entry.handle)
-        admin = Admin(self._telemetry, self.status)
+        self._http = HttpServer(bounds, self._entry.handle, refuse_unreadable)
+        admin = Admin(self._telemetry, self.status, self._objectives.document)
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
-        self._peer = GrpcServer(
-            [
-                PeerService(self._timers, self._executor),
-                HomeService(self._timers, self._home),
-            ]
-        )
+        self._peer_service = PeerService(self._timers, self._executor)
+        home = HomeService(self._timers, self._home, self._peer_service)
+        self._peer = GrpcServer([self._peer_service, home])
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -230,7 +232,10 @@
         """Finish what is running, then close; False when time ran out."""
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
-        finished = await self._http.drain(self._settings.limits.drain_seconds)
+        drain = GracefulDrain(
+            self._settings.limits, self._timers, self._http, self._peer_service
+        )
+        finished = await drain.run()
         await self._home.drain(self._settings.limits.drain_seconds)
         self._peer.close()
         await self._peer.wait_closed()
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -36,6 +36,7 @@
     soften,
     with_next_id,
 )
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.responses import to_http
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.quota import RateLimiter
@@ -77,6 +78,8 @@
         Way to the homes of request ids.
     mint : IdMint
         Issuer of ids homed at this node.
+    objectives : ObjectiveKeeper
+        Service-level indicators.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         telemetry: Telemetry,
         homes: HomeRouter,
         mint: IdMint,
+        objectives: ObjectiveKeeper,
     ) -> None:
         self._settings = settings
         self._timers = timers
@@ -101,6 +105,7 @@
         self._homes = homes
         self._mint = mint
         self._issue = IssueEndpoint(mint, settings.node.zone)
+        self._objectives = objectives
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -114,7 +119,9 @@
             return to_http(refusal)
         arrival, identity, call = prepared.ok
         reply = await self._run(arrival, identity, call)
-        self._telemetry.answered(call.context, reply, self._timers.now - started)
+        seconds = self._timers.now - started
+        self._telemetry.answered(call.context, reply, seconds)
+        self._objectives.observe(call.context, reply, seconds)
         response = to_http(reply, call.context.request_id)
         if arrival.caller.parent is not None or not call.context.team:
             return response
--- a/damaskramp/node/home_peers.py
+++ b/damaskramp/node/home_peers.py
@@ -2,13 +2,17 @@
 
 import asyncio
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from damaskramp.core import HostId, Incarnation, TimerService
+from damaskramp.http import BrokenAnswerError
 from damaskramp.node.calls import Reply
 from damaskramp.node.codec import decode_call, encode_call, encode_head
 from damaskramp.node.home import Home
 from damaskramp.node.home_messages import ClaimCopy, CopyResult, HomeCall, HomeMessages
+from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import FAILURES, PeerPool, exchange
 from damaskramp.ownership import Owner
 from damaskramp.wire import dedup_pb2, peer_pb2
@@ -78,14 +82,21 @@
         Time.
     home : Home
         Home on this node.
+    peers : PeerService
+        Counts the calls that are being served.
     """
 
-    def __init__(self, timers: TimerService, home: Home) -> None:
+    def __init__(self, timers: TimerService, home: Home, peers: PeerService) -> None:
         self._timers = timers
         self._home = home
+        self._peers = peers
 
     async def Run(self, stream: Stream) -> None:
         """Run one call and stream its reply."""
+        with self._peers.serving():
+            await self._serve(stream)
+
+    async def _serve(self, stream: Stream) -> None:
         message = await stream.recv_message()
         execute = peer_pb2.ExecuteRequest.FromString(message.call)
         home_call = HomeCall(
@@ -96,10 +107,14 @@
         )
         reply = await self._home.run(home_call)
         await stream.send_message(_encode(encode_head(reply)))
-        if reply.tail is not None:
+        if reply.tail is None:
+            return
+        try:
             async for chunk in reply.tail:
                 part = peer_pb2.ExecuteReply(chunk=chunk)
                 await stream.send_message(_encode(part))
+        except BrokenAnswerError as error:
+            raise GRPCError(Status.DATA_LOSS, str(error)) from error
 
     async def Copy(self, stream: Stream) -> None:
         """Keep a copy of a claim."""
--- a/damaskramp/node/peers.py
+++ b/damaskramp/node/peers.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, suppress
+from contextlib import AsyncExitStack
 
 from expression import Error, Ok, Result
 from grpclib.client import Channel, Stream, UnaryStreamMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from damaskramp.core import Reason, TimerService
+from damaskramp.http import BrokenAnswerError
 from damaskramp.membership import Member
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.codec import decode_head, encode_call
@@ -96,42 +97,64 @@
         The reply, unknown where it was lost; an error where the message was
         provably not sent.
     """
-    reply = None
+    exchanged = _Exchange(make_message, decode)
     try:
+        await exchanged.run(method, remaining)
+    except (*FAILURES, TimeoutError) as error:
+        return exchanged.failed(error)
+    return Ok(exchanged.reply)
+
+
+class _Exchange:
+    """One message on one stream, and how far it has come."""
+
+    def __init__(
+        self,
+        make_message: Callable[[], object],
+        decode: Callable[[object], peer_pb2.ExecuteReply],
+    ) -> None:
+        self._make_message = make_message
+        self._decode = decode
+        self._message_sent = False
+        self._reply: Reply | None = None
+
+    @property
+    def reply(self) -> Reply | None:
+        """Reply, once it has been read."""
+        return self._reply
+
+    async def run(self, method: UnaryStreamMethod, remaining: float) -> None:
+        """Send the message and read the reply."""
         async with AsyncExitStack() as stack:
             stream = await stack.enter_async_context(
                 method.open(timeout=remaining + GRACE_SECONDS)
             )
-            try:
-                async with asyncio.timeout(min(CONNECT_SECONDS, remaining)):
-                    await stream.send_request()
-            except (*FAILURES, TimeoutError) as error:
-                await _reset(stream)
-                return Error(str(error))
-            reply = Reply.unknown(Reason.ANSWER_LOST, "the peer sent no reply")
-            await stream.send_message(make_message(), end=True)
+            async with asyncio.timeout(min(CONNECT_SECONDS, remaining)):
+                await stream.send_request()
+            message = self._make_message()
+            self._message_sent = True
+            await stream.send_message(message, end=True)
             first = await stream.recv_message()
-            if first is not None:
-                part = decode(first)
-                reply = decode_head(part.head)
-                if part.head.more:
-                    tail = _tail(stack.pop_all(), stream, decode)
-                    reply = decode_head(part.head, tail)
-    except TimeoutError:
-        if reply is None or reply.reason is Reason.ANSWER_LOST:
-            reply = Reply.unknown(Reason.DEADLINE_EXCEEDED)
-    except FAILURES as error:
-        # A reply that was read whole stands, however its stream ended.
-        if reply is None:
+            if first is None:
+                raise ConnectionResetError("the peer sent no reply")
+            head = self._decode(first).head
+            if not head.more:
+                self._reply = decode_head(head)
+                await stream.recv_message()
+                return
+            tail = _tail(stack.pop_all(), stream, self._decode)
+            self._reply = decode_head(head, tail)
+
+    def failed(self, error: BaseException) -> Result[Reply, str]:
+        """Reply for an exchange that ended with `error`."""
+        if self._reply is not None:
+            # It was read whole, however its stream ended.
+            return Ok(self._reply)
+        if not self._message_sent:
             return Error(str(error))
-        if reply.reason is Reason.ANSWER_LOST:
-            reply = Reply.unknown(Reason.ANSWER_LOST, str(error))
-    return Ok(reply)
-
-
-async def _reset(stream: Stream) -> None:
-    with suppress(*FAILURES):
-        await stream.reset()
+        if isinstance(error, TimeoutError):
+            return Ok(Reply.unknown(Reason.DEADLINE_EXCEEDED))
+        return Ok(Reply.unknown(Reason.ANSWER_LOST, str(error)))
 
 
 def _same(message: peer_pb2.ExecuteReply) -> peer_pb2.ExecuteReply:
@@ -143,6 +166,9 @@
     stream: Stream,
     decode: Callable[[object], peer_pb2.ExecuteReply],
 ) -> AsyncIterator[bytes]:
-    async with held:
-        async for message in stream:
-            yield decode(message).chunk
+    try:
+        async with held:
+            async for message in stream:
+                yield decode(message).chunk
+    except (*FAILURES, TimeoutError) as error:
+        raise BrokenAnswerError(str(error)) from error
--- a/damaskramp/node/tests/fake_fleet.py
+++ b/damaskramp/node/tests/fake_fleet.py
@@ -51,6 +51,7 @@
 from damaskramp.node.home_messages import ClaimCopy, CopyResult, HomeCall, HomeMessages
 from damaskramp.node.home_router import HomeRouter
 from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.releases import ReleaseGuard
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.ownership import Owner, Ownership, rank_members
@@ -331,6 +332,7 @@
             telemetry,
             self.router,
             self.mint,
+            ObjectiveKeeper(timers, self.bundle),
         )
 
     def set_view(self, zone: tuple[Member, ...], everyone: list[Member]) -> None:
