Tests of nested calls and of large answers

Cause: two rules of the design had no test. Ruled out: nothing. Change: a backend server's calls have ids of their own; its stated keys are kept apart from its team's; a large answer that nobody reads is closed.

--- a/damaskramp/node/tests/test_outcomes.py
+++ b/damaskramp/node/tests/test_outcomes.py
@@ -1,12 +1,15 @@
 """Each row of docs/design/outcomes.md: where a request is lost, what is told."""
 
 import asyncio
+from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
+from functools import partial
+from unittest import mock
 
 from damaskramp.core import HostId, Incarnation, Outcome, Reason, ZoneName
 from damaskramp.dedup import claim_key, parse_request_id
 from damaskramp.http import HttpRequest, HttpResponse
-from damaskramp.node.calls import HomeStamp
+from damaskramp.node.calls import CallContext, HomeStamp, Reply
 from damaskramp.node.home_messages import ClaimCopy, CopyResult
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.tests.fake_fleet import (
@@ -416,3 +419,69 @@
             await self.told("north-0", request, UNKNOWN, Reason.HISTORY_LOST)
 
         self.rows(check, bundle_view(600.0))
+
+    def test_calls_of_a_backend_server(self):
+        async def check() -> None:
+            node = self.fleet.nodes["north-0"]
+            seen = []
+            for other in self.fleet.nodes.values():
+                guard = other.executor._releases
+                guard.begin = partial(_note, seen, guard.begin)
+            await self.told("north-0", booking(), ANSWER, Reason.NONE)
+            contexts = node.entry._contexts
+            executions = [contexts.issue(seen[0])[0] for _ in range(2)]
+
+            def nested(token: str, key: str = "") -> HttpRequest:
+                more = ((b"damaskramp-context", token.encode()),)
+                return booking(key, team="", more=more)
+
+            before = len(self.fleet.executions)
+            for token in executions:
+                await self.told("north-0", nested(token), ANSWER, Reason.NONE)
+            self.assertEqual(before + 2, len(self.fleet.executions))
+            ids = {run.request_id for run in self.fleet.executions}
+            self.assertEqual(before + 2, len(ids))
+            # A parent that is executed again states the same key: one run.
+            for token in executions:
+                await self.told("north-0", nested(token, "pay"), ANSWER, Reason.NONE)
+            self.assertEqual(before + 3, len(self.fleet.executions))
+            # The team's own key of the same name is another request.
+            own = booking("pay", target="/book/2")
+            await self.told("north-0", own, ANSWER, Reason.NONE)
+            self.assertEqual(before + 4, len(self.fleet.executions))
+
+        self.rows(check)
+
+    def test_large_answer_is_passed_on_and_not_kept(self):
+        async def check() -> None:
+            closed = []
+
+            async def tail() -> AsyncIterator[bytes]:
+                try:
+                    yield b"more"
+                finally:
+                    closed.append(True)
+
+            async def dispatch(call: object) -> Reply:
+                return Reply(ANSWER, status=200, body=b"big", tail=tail())
+
+            node = self.fleet.nodes["north-1"]
+            node.home._releaser = mock.Mock(dispatch=dispatch)
+            request = booking(await self.issue("north-1"))
+            answer = await self.told("north-1", request, ANSWER, Reason.NONE)
+            self.assertEqual([b"more"], [chunk async for chunk in answer.tail])
+            await self.told("north-1", request, UNKNOWN, Reason.ANSWER_LOST)
+            # Nobody reads the answer of a caller that has left: it is closed.
+            left = booking(await self.issue("north-1"))
+            first = node.spawn(node.entry.handle(left))
+            await asyncio.sleep(0)
+            first.cancel()
+            await self.fleet.advance(0.5)
+            self.assertEqual(2, len(closed))
+
+        self.rows(check)
+
+
+def _note(seen: list, begin: Callable, context: CallContext) -> Reply | None:
+    seen.append(context)
+    return begin(context)
