Merge membership: homes follow acknowledged ownership

A claim names the incarnation that made it, so a node that stood still is fenced by the holders of copies and by executing nodes of its zone. A node that is not active yet keeps no copies and passes calls on, since it does not know whom to refuse. An issued id is asked of its home whatever incarnation membership shows: the process lives on when ownership renews.

--- a/damaskramp/dedup/zones.py
+++ b/damaskramp/dedup/zones.py
@@ -1,8 +1,8 @@
 """Home zones of callers' own ids, by rendezvous over the bundle's zones."""
 
 from damaskramp.core import TimerService, ZoneName
+from damaskramp.core.rendezvous import rendezvous_score
 from damaskramp.dedup.request_ids import ClaimKey, OwnId
-from damaskramp.ownership.rendezvous import rendezvous_score
 
 __all__ = ["HomeZones"]
 
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -4,6 +4,7 @@
 import logging
 import secrets
 
+import numpy as np
 from grpclib.server import Server as GrpcServer
 
 from damaskramp.admission import FixedAdmission
@@ -15,12 +16,18 @@
     HostId,
     Incarnation,
     LoopTimers,
+    ServiceName,
     TimerService,
     ZoneName,
 )
 from damaskramp.dedup import ExecutionLedger, IdMint
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
-from damaskramp.membership import MemberTable
+from damaskramp.membership import (
+    GossipProtocol,
+    Member,
+    MembershipSettings,
+    MemberTable,
+)
 from damaskramp.node.admin import Admin
 from damaskramp.node.bundle_watch import BundleWatch
 from damaskramp.node.contexts import ContextTable
@@ -28,6 +35,8 @@
 from damaskramp.node.drain import GracefulDrain
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
+from damaskramp.node.gossip import GossipController
+from damaskramp.node.gossip_server import GossipService
 from damaskramp.node.home import Home
 from damaskramp.node.home_peers import GrpcHomeMessages, HomeService
 from damaskramp.node.home_router import HomeRouter
@@ -39,7 +48,7 @@
 from damaskramp.node.releases import ReleaseGuard
 from damaskramp.node.responses import refuse_unreadable
 from damaskramp.node.telemetry import Telemetry
-from damaskramp.ownership import ListedOwnership
+from damaskramp.ownership import AcknowledgedOwnership, Owner, OwnershipSettings
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 from damaskramp.quota import StaticSplit
 
@@ -74,6 +83,7 @@
         self._tasks: list[asyncio.Task] = []
         self._build_sections()
         self._build_clients()
+        self._build_gossip()
         self._build_call_path()
         self._build_servers()
         self._bundle.subscribe(self._follow_bundle)
@@ -113,6 +123,29 @@
         limit = settings.limits.whole_answer_bytes
         self._backend = _client(backend, settings.limits.connections, limit)
 
+    def _build_gossip(self) -> None:
+        times = self._settings.membership
+        own = _own_member(self._settings, self._incarnation)
+        self._ownership = AcknowledgedOwnership(
+            OwnershipSettings(times.silence_seconds, times.period_seconds),
+            self._timers,
+            Owner(own.host, own.incarnation, own.peer),
+        )
+        gossip = MembershipSettings(period_seconds=times.period_seconds)
+        seed = [*own.host.encode(), own.incarnation]
+        random = np.random.default_rng(seed)
+        protocol = GossipProtocol(gossip, self._timers, own, random)
+        self._broadcast = protocol.broadcast
+        self._gossip = GossipController(
+            gossip,
+            self._timers,
+            protocol,
+            self._ownership,
+            self._members,
+            self._pool,
+            self._telemetry,
+        )
+
     def _build_call_path(self) -> None:
         settings = self._settings
         zone = ZoneName(settings.node.zone)
@@ -155,7 +188,6 @@
 
     def _build_dedup(self, zone: ZoneName) -> None:
         host = HostId(self._settings.node.host)
-        self._ownership = ListedOwnership(self._timers, host, zone, self._members)
         secret = secrets.token_bytes(ID_SECRET_BYTES)
         self._mint = IdMint(self._timers, zone, host, self._incarnation, secret)
         self._ledger = ExecutionLedger(
@@ -167,7 +199,6 @@
         self._home = Home(
             self._settings,
             self._timers,
-            self._incarnation,
             self._bundle,
             self._ownership,
             self._mint,
@@ -207,9 +238,14 @@
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
+        gossip = GossipService(self._gossip, self._ownership)
         self._peer_service = PeerService(self._timers, self._executor)
-        home = HomeService(self._timers, self._home, self._peer_service)
-        self._peer = GrpcServer([self._peer_service, home])
+        services = [
+            self._peer_service,
+            gossip,
+            HomeService(self._timers, self._home, self._peer_service),
+        ]
+        self._peer = GrpcServer(services)
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -225,6 +261,7 @@
         await self._http.start(*_split(listen.http))
         self._spawn(self._watch_bundle().run())
         self._spawn(self._watch_hosts().run())
+        self._spawn(self._gossip.run())
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
         LOGGER.info("started", extra=fields)
 
@@ -232,6 +269,7 @@
         """Finish what is running, then close; False when time ran out."""
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
+        await self._gossip.leave()
         drain = GracefulDrain(
             self._settings.limits, self._timers, self._http, self._peer_service
         )
@@ -244,6 +282,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._gossip.close()
         self._pool.close()
         self._backend.close()
         self._platform.close()
@@ -257,7 +296,9 @@
         return {
             "host": self._settings.node.host,
             "zone": self._settings.node.zone,
-            "incarnation": self._incarnation,
+            "incarnation": self._ownership.own.incarnation,
+            "ownership_active": self._ownership.active,
+            "periods": self._gossip.protocol.periods,
             "state": self._lifecycle.value.value,
             "bundle": None if view is None else _bundle_status(view),
             "members": [_member_status(member) for member in self._members.value],
@@ -284,7 +325,8 @@
 
     def _watch_hosts(self) -> HostWatch:
         hosts = HttpHostList(self._platform)
-        return HostWatch(self._settings, self._members, hosts, self._telemetry)
+        receive = self._gossip.receive_list
+        return HostWatch(self._settings, receive, hosts, self._telemetry)
 
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._limiter.set_bundle(view)
@@ -312,6 +354,16 @@
     return HttpClient(host, port, idle, whole_bytes)
 
 
+def _own_member(settings: NodeSettings, incarnation: Incarnation) -> Member:
+    return Member(
+        HostId(settings.node.host),
+        ZoneName(settings.node.zone),
+        settings.listen.peer,
+        ServiceName(settings.backend.service if settings.backend else ""),
+        incarnation=incarnation,
+    )
+
+
 def _bundle_status(view: BundleView) -> dict:
     return {
         "version": view.version,
@@ -326,4 +378,5 @@
         "zone": member.zone,
         "service": member.service,
         "state": member.state.value,
+        "incarnation": member.incarnation,
     }
--- a/damaskramp/node/home.py
+++ b/damaskramp/node/home.py
@@ -9,7 +9,6 @@
 from damaskramp.config import NodeSettings
 from damaskramp.core import (
     HostId,
-    Incarnation,
     Outcome,
     Reason,
     Section,
@@ -30,8 +29,9 @@
     fingerprint,
     may_release_own_id,
     parse_request_id,
+    thing_of,
 )
-from damaskramp.node.calls import Call, HomeStamp, Reply
+from damaskramp.node.calls import NO_HOME, Call, HomeStamp, Reply
 from damaskramp.node.home_copies import ClaimCopies
 from damaskramp.node.home_messages import (
     UNREACHABLE_HINT_SECONDS,
@@ -60,8 +60,6 @@
         Settings of the node.
     timers : TimerService
         Time.
-    incarnation : Incarnation
-        This incarnation.
     bundle : Section of BundleView or None
         Bundle in force.
     ownership : Ownership
@@ -78,7 +76,6 @@
         self,
         settings: NodeSettings,
         timers: TimerService,
-        incarnation: Incarnation,
         bundle: Section[BundleView | None],
         ownership: Ownership,
         mint: IdMint,
@@ -87,7 +84,6 @@
     ) -> None:
         self._settings = settings
         self._timers = timers
-        self._incarnation = incarnation
         self._bundle = bundle
         self._ownership = ownership
         self._mint = mint
@@ -102,7 +98,7 @@
         self._ranges = RangeHistory(timers, ownership)
         self._zones = HomeZones(timers)
         self._held = ClaimCopies(
-            Owner(HostId(settings.node.host), incarnation, settings.listen.peer),
+            HostId(settings.node.host),
             ownership,
             self._ranges,
             self._claims,
@@ -160,14 +156,12 @@
         known = self._known(home_call, parsed.ok, key, mark)
         if known is not None:
             return known.with_retries(context.retries_left)
+        copy = self._copy_of(parsed.ok, key, mark)
         if home_call.look_only or self._claims.full:
-            refusal = Reply.not_run(Reason.OVERLOADED, UNREACHABLE_HINT_SECONDS)
-            if isinstance(parsed.ok, IssuedId):
-                return refusal
-            return await self._confirmed(home_call, key, mark) or refusal
+            return await self._refuse(home_call, copy)
         self._claims.claim(key, mark)
         task = asyncio.get_running_loop().create_task(
-            self._release(home_call, parsed.ok, key, mark)
+            self._release(home_call, key, copy)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -275,31 +269,46 @@
             return Reply.unknown(Reason.ANSWER_LOST, detail)
         return kept
 
-    async def _confirmed(
-        self, home_call: HomeCall, key: ClaimKey, mark: bytes
-    ) -> Reply | None:
-        """Refusal where another node does not confirm that this one is the home.
+    def _copy_of(
+        self, parsed: IssuedId | OwnId, key: ClaimKey, mark: bytes
+    ) -> ClaimCopy | None:
+        """Copy to be kept elsewhere; None where nobody can take over the id.
+
+        It names the incarnation that made the claim: after a pause this node is a
+        newer one, and the claim of the older is refused everywhere.
+        """
+        if isinstance(parsed, IssuedId):
+            return None
+        return ClaimCopy(key, mark, self._ownership.owner(thing_of(key)))
 
-        A home that acts on old beliefs can't know that an id has not run.
+    async def _refuse(self, home_call: HomeCall, copy: ClaimCopy | None) -> Reply:
+        """Refuse an unclaimed id.
+
+        A home that acts on old beliefs can't know that an id has not run, so
+        another node has to confirm that this one is the home.
         """
-        return await self._held.send(key, mark, home_call.first_attempt, probe=True)
+        refusal = Reply.not_run(Reason.OVERLOADED, UNREACHABLE_HINT_SECONDS)
+        if copy is None:
+            return refusal
+        probe = replace(copy, probe=True)
+        return await self._held.send(probe, home_call.first_attempt) or refusal
 
     async def _release(
-        self, home_call: HomeCall, parsed: IssuedId | OwnId, key: ClaimKey, mark: bytes
+        self, home_call: HomeCall, key: ClaimKey, copy: ClaimCopy | None
     ) -> Reply:
         reply = Reply.unknown(Reason.ANSWER_LOST)
         released = False
         try:
-            if isinstance(parsed, OwnId):
-                refusal = await self._held.send(key, mark, home_call.first_attempt)
+            if copy is not None:
+                refusal = await self._held.send(copy, home_call.first_attempt)
                 if refusal is not None:
                     return refusal
             released = True
-            call = self._stamped(home_call.call, parsed, key)
+            call = self._stamped(home_call.call, key, copy)
             reply = await self._releaser.dispatch(call)
         finally:
             self._settle(key, reply, released)
-        return self._still_true(reply, parsed, key)
+        return self._still_true(reply, copy)
 
     def _discard_tail(self, task: asyncio.Task) -> None:
         """Close an answer that nobody reads any more."""
@@ -320,23 +329,19 @@
         else:
             self._claims.settle(key, ClaimState.ANSWERED)
 
-    def _still_true(
-        self, reply: Reply, parsed: IssuedId | OwnId, key: ClaimKey
-    ) -> Reply:
+    def _still_true(self, reply: Reply, copy: ClaimCopy | None) -> Reply:
         """A home that lost the range no longer knows the whole history."""
-        if reply.outcome is not Outcome.NOT_RUN or isinstance(parsed, IssuedId):
+        if reply.outcome is not Outcome.NOT_RUN or copy is None:
             return reply
-        if self._ranges.owned_since(key) is not None:
+        if self._ownership.owner(thing_of(copy.key)) == copy.home:
             return reply
         return replace(reply, outcome=Outcome.UNKNOWN)
 
-    def _stamped(self, call: Call, parsed: IssuedId | OwnId, key: ClaimKey) -> Call:
-        zone = ZoneName(self._settings.node.zone)
-        stamp = HomeStamp(
-            HostId(self._settings.node.host),
-            self._incarnation,
-            zone if isinstance(parsed, OwnId) else ZoneName(""),
-        )
+    def _stamped(self, call: Call, key: ClaimKey, copy: ClaimCopy | None) -> Call:
+        stamp = NO_HOME
+        if copy is not None:
+            zone = ZoneName(self._settings.node.zone)
+            stamp = HomeStamp(copy.home.host, copy.home.incarnation, zone)
         return replace(call, context=replace(call.context, claim=key, home=stamp))
 
 
--- a/damaskramp/node/home_copies.py
+++ b/damaskramp/node/home_copies.py
@@ -1,7 +1,7 @@
 """Copies of claims on a second node of the zone, and the fence that they are."""
 
-from damaskramp.core import Reason
-from damaskramp.dedup import ClaimKey, ClaimState, ClaimTable, RangeHistory, thing_of
+from damaskramp.core import HostId, Reason
+from damaskramp.dedup import ClaimState, ClaimTable, RangeHistory, thing_of
 from damaskramp.node.calls import Reply
 from damaskramp.node.home_messages import (
     ClaimCopy,
@@ -22,8 +22,8 @@
 
     Parameters
     ----------
-    own : Owner
-        This incarnation.
+    host : HostId
+        This host.
     ownership : Ownership
         Owners inside the zone.
     ranges : RangeHistory
@@ -38,14 +38,14 @@
 
     def __init__(
         self,
-        own: Owner,
+        host: HostId,
         ownership: Ownership,
         ranges: RangeHistory,
         claims: ClaimTable[Reply],
         kept: ClaimTable[Owner],
         messages: HomeMessages,
     ) -> None:
-        self._own = own
+        self._host = host
         self._ownership = ownership
         self._ranges = ranges
         self._claims = claims
@@ -58,6 +58,8 @@
         A home that acts on old beliefs is stopped here: this node has acknowledged
         the newer owner of the range.
         """
+        if not self._ownership.active:
+            return CopyResult.LOST
         if not self._ownership.may_release(thing_of(copy.key), copy.home):
             return CopyResult.FENCED
         if self._claims.get(copy.key) is not None:
@@ -73,9 +75,7 @@
         self._kept.settle(copy.key, ClaimState.UNKNOWN, copy.home)
         return CopyResult.KEPT
 
-    async def send(
-        self, key: ClaimKey, mark: bytes, first_attempt: bool, probe: bool = False
-    ) -> Reply | None:
+    async def send(self, copy: ClaimCopy, first_attempt: bool = False) -> Reply | None:
         """Copy a claim to the next node in rank.
 
         Returns
@@ -83,19 +83,19 @@
         Reply or None
             The refusal where the claim must not be released.
         """
-        result = await self._send(ClaimCopy(key, mark, self._own, probe))
+        result = await self._send(copy)
         if result is CopyResult.FENCED:
             # A newer owner may already have released it.
             return unreachable(first_attempt=False)
         if result is CopyResult.KNOWN:
             return Reply.unknown(Reason.HISTORY_LOST, "claimed by a home that is gone")
-        if result is CopyResult.LOST or self._ranges.owned_since(key) is None:
+        if result is CopyResult.LOST or self._ranges.owned_since(copy.key) is None:
             return unreachable(first_attempt)
         return None
 
     async def _send(self, copy: ClaimCopy) -> CopyResult:
         ranked = self._ownership.successors(thing_of(copy.key), COPY_CANDIDATES)
-        others = [owner for owner in ranked if owner.host != self._own.host]
+        others = [owner for owner in ranked if owner.host != self._host]
         if not others:
             return CopyResult.KEPT
         for owner in others:
--- a/damaskramp/node/home_router.py
+++ b/damaskramp/node/home_router.py
@@ -16,7 +16,6 @@
 from damaskramp.node.home_messages import (
     HomeCall,
     HomeMessages,
-    history_lost,
     unreachable,
 )
 from damaskramp.ownership import Ownership, rank_members
@@ -74,8 +73,6 @@
         member = self._members.value.get(issued.host)
         if member is None:
             return unreachable(home_call.first_attempt)
-        if member.incarnation > issued.incarnation:
-            return history_lost(home_call.first_attempt, "the home is gone")
         return await self._send(member.peer, home_call)
 
     async def _run_own(self, home_call: HomeCall, own_id: OwnId) -> Reply:
--- a/damaskramp/node/releases.py
+++ b/damaskramp/node/releases.py
@@ -38,6 +38,9 @@
             return Reply.not_run(Reason.BAD_REQUEST, detail="no claim, no release")
         if self._ledger.released(context.claim):
             return Reply.unknown(Reason.ANSWER_LOST, "released here before")
+        if self._is_beyond_own_word(context):
+            # Not active yet, this node does not know whom it has to refuse.
+            return Reply.not_run(Reason.NO_BACKEND_SERVER, FULL_HINT_SECONDS)
         if not self._home_may_release(context):
             # The newer home may have released it already.
             return Reply.unknown(Reason.HISTORY_LOST, "released by a former home")
@@ -51,6 +54,9 @@
         if not context.idempotent:
             self._ledger.end(context.claim, ran)
 
+    def _is_beyond_own_word(self, context: CallContext) -> bool:
+        return context.home.zone == self._zone and not self._ownership.active
+
     def _home_may_release(self, context: CallContext) -> bool:
         home = context.home
         if home.zone != self._zone:
--- a/damaskramp/node/tests/fake_fleet.py
+++ b/damaskramp/node/tests/fake_fleet.py
@@ -316,7 +316,6 @@
         self.home = Home(
             settings,
             timers,
-            self.incarnation,
             self.bundle,
             self.ownership,
             self.mint,
--- a/tests/test_at_most_once_processes.py
+++ b/tests/test_at_most_once_processes.py
@@ -19,8 +19,15 @@
 from damaskramp.testing.history import Execution, History, Invocation, Told, judge
 from examples.fleet import Fleet, HostSpec
 
+SETTINGS = """\
+[membership]
+period_seconds = 0.1
+silence_seconds = 1.6
+"""
+ACTIVE_SECONDS = 30.0
 KEYS = {"clubs": b"key-of-clubs", "schools": b"key-of-schools"}
 ZONES = ("z1", "z2")
+HOSTS = ("z1-1", "z1-2", "z2-1", "z2-2")
 REQUESTS = 240
 SENDERS = 12
 ANSWER_SECONDS = 6.0
@@ -62,7 +69,7 @@
     """Two hosts in each zone."""
     backend = {"records": True, "slots": 32, "service_ms": 20.0}
     return [
-        HostSpec(f"{zone}-{number}", zone, "desk", backend)
+        HostSpec(f"{zone}-{number}", zone, "desk", backend, settings=SETTINGS)
         for zone in ZONES
         for number in (1, 2)
     ]
@@ -171,6 +178,10 @@
         self.fleet = Fleet(Path(directory.name), specs(), bundle())
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
+        end = time.monotonic() + ACTIVE_SECONDS
+        while not all(self.fleet.status(h)["ownership_active"] for h in HOSTS):
+            self.assertLess(time.monotonic(), end, "ownership is not active")
+            time.sleep(0.1)
 
     async def faults(self) -> None:
         """Kill and restart nodes, stop and continue others."""
