Runs with a withdrawn key

Cause: the bound of a withdrawn key was judged in no run. Ruled out: nothing. Change: half of the runs withdraw a key that nodes hear of one by one; runs in which the key is accepted again are found. The planted fault of accounting now takes the copies away too, since they alone stop most repeats.

--- a/damaskramp/node/tests/test_at_most_once_runs.py
+++ b/damaskramp/node/tests/test_at_most_once_runs.py
@@ -13,11 +13,15 @@
 
 import orjson
 
+from damaskramp.bundle import BundleView
 from damaskramp.core import Outcome
 from damaskramp.dedup import Claim, ClaimTable
 from damaskramp.http import HttpRequest, HttpResponse
 from damaskramp.node.entry import Entry
+from damaskramp.node.execution import Executor
 from damaskramp.node.home import Home
+from damaskramp.node.home_copies import ClaimCopies
+from damaskramp.node.home_messages import CopyResult
 from damaskramp.node.releases import ReleaseGuard
 from damaskramp.node.tests.fake_fleet import KEYS, FakeFleet, FakeNode
 from damaskramp.testing import LoopTestCase
@@ -27,6 +31,7 @@
     Told,
     Violation,
     ViolationKind,
+    Withdrawal,
     judge,
 )
 
@@ -34,6 +39,9 @@
 REQUESTS = 12
 RUN_SECONDS = 12.0
 REPEAT_SECONDS = 2.0
+LONGEST_FREEZE_SECONDS = 1.5
+NEWS_SECONDS = 0.5
+WITHDRAWAL_SECONDS = 2 * NEWS_SECONDS + LONGEST_FREEZE_SECONDS + 0.2
 ISSUE = HttpRequest("POST", "/damaskramp/request-id")
 
 
@@ -56,7 +64,8 @@
         await fleet.advance(start)
         jobs = [self._request() for _ in range(REQUESTS)]
         jobs += [self._kill(), self._freeze("north"), self._freeze("south")]
-        tasks = [asyncio.create_task(job) for job in (*jobs, self._cut())]
+        jobs += [self._cut(), self._withdraw()]
+        tasks = [asyncio.create_task(job) for job in jobs]
         await fleet.advance(RUN_SECONDS)
         for task in tasks:
             if task.done() and task.exception() is not None:
@@ -64,7 +73,7 @@
             task.cancel()
         fleet.close()
         self.history.executions += fleet.executions
-        return judge(self.history)
+        return judge(self.history, WITHDRAWAL_SECONDS)
 
     async def _kill(self) -> None:
         fleet = self.fleet
@@ -80,13 +89,30 @@
         fleet = self.fleet
         await fleet.sleep(fleet.between(0.0, 3.0))
         able = [h for h, n in fleet.nodes.items() if n.zone == zone and n.alive]
-        await fleet.freeze(fleet.pick(able), fleet.between(0.1, 1.5), fleet.chance(0.7))
+        await fleet.freeze(
+            fleet.pick(able),
+            fleet.between(0.1, LONGEST_FREEZE_SECONDS),
+            fleet.chance(0.7),
+        )
 
     async def _cut(self) -> None:
         await self.fleet.sleep(self.fleet.between(0.0, 3.0))
         if self.fleet.chance(0.5):
             self.fleet.cut(self.fleet.between(0.3, 2.0))
 
+    async def _withdraw(self) -> None:
+        """Withdraw the key of one team; the nodes hear of it one by one."""
+        fleet = self.fleet
+        await fleet.sleep(fleet.between(0.2, 1.5))
+        if fleet.chance(0.5):
+            return
+        self.history.withdrawals.append(Withdrawal("schools", fleet.timers.now))
+        digest = hashlib.sha256(KEYS["schools"]).hexdigest()
+        fleet.bundle = BundleView(fleet.bundle.signed, frozenset({digest}))
+        for node in list(fleet.nodes.values()):
+            await fleet.sleep(fleet.between(0.0, 2 * NEWS_SECONDS / len(fleet.nodes)))
+            node.bundle.replace(fleet.bundle)
+
     async def _request(self) -> None:
         """One request, sent and repeated at several nodes."""
         fleet = self.fleet
@@ -122,7 +148,7 @@
             node = fleet.nodes[fleet.pick(list(fleet.nodes))]
             request = HttpRequest(ISSUE.method, ISSUE.target, _key(team))
             answer = await node.entry.handle(request)
-            return answer.value(b"damaskramp-request-id").decode()
+            return (answer.value(b"damaskramp-request-id") or b"").decode()
         return ""
 
     async def _send(
@@ -145,8 +171,8 @@
             answer = await node.spawn(node.entry.handle(request))
         except asyncio.CancelledError:
             return
-        if not request_id:
-            named = answer.value(b"damaskramp-request-id").decode()
+        named = (answer.value(b"damaskramp-request-id") or b"").decode()
+        if not request_id and named:
             self.history.invocations[place] = Invocation(
                 attempt, team, team, named, sent_at, digest
             )
@@ -211,16 +237,29 @@
         accounts = mock.patch(
             "damaskramp.node.home.may_release_own_id", return_value=True
         )
-        with _without_guard():
+        # Copies alone would stop most repeats: they go as well.
+        no_copies = mock.patch.object(ClaimCopies, "keep", return_value=CopyResult.KEPT)
+        with no_copies, _without_guard():
             kinds = self.found_without(accounts)
         self.assertIn(ViolationKind.RAN_TWICE, kinds)
 
+    def test_runs_fail_without_the_check_at_release(self):
+        accepted = mock.patch.object(BundleView, "team_of", _team_of_any_key)
+        unchecked = mock.patch.object(Executor, "_key_withdrawn", return_value=False)
+        with accepted:
+            kinds = self.found_without(unchecked, ViolationKind.WITHDRAWN_KEY)
+        self.assertEqual({ViolationKind.WITHDRAWN_KEY}, kinds)
+
     def test_runs_fail_when_refusals_are_told_blindly(self):
         blind = mock.patch("damaskramp.node.entry.Entry._true_refusal", _refuse_blindly)
         kinds = self.found_without(blind, ViolationKind.FALSE_NOT_RUN)
         self.assertEqual({ViolationKind.FALSE_NOT_RUN}, kinds)
 
 
+def _team_of_any_key(view: BundleView, digest: str) -> str | None:
+    return next((k.team for k in view.contents.keys if k.digest == digest), None)
+
+
 @contextmanager
 def _without_guard() -> Iterator[None]:
     with (
