--- a/damaskramp/node/tests/test_outcomes.py
+++ b/damaskramp/node/tests/test_outcomes.py
@@ -406,6 +406,33 @@
 
         self.rows(check)
 
+    def test_executing_node_that_is_not_active_passes_calls_on(self):
+        async def check() -> None:
+            request_id = zoned("north")
+            home = self.home_of(request_id, "north")
+            for node in self.fleet.nodes.values():
+                if node is not home:
+                    node.executor._releases._ownership = mock.Mock(active=False)
+            await self.told(home.host, booking(request_id), ANSWER, Reason.NONE)
+            ran = {run.host for run in self.fleet.executions}
+            inactive = [h for h in ran if h.startswith("north") and h != home.host]
+            self.assertEqual([], inactive)
+
+        self.rows(check)
+
+    def test_copy_is_not_left_with_a_node_that_is_not_active(self):
+        async def check() -> None:
+            request_id = zoned("north")
+            home = self.home_of(request_id, "north")
+            for node in self.fleet.nodes.values():
+                if node is not home:
+                    node.home._held._ownership = mock.Mock(active=False)
+            lost = Reason.HOME_UNREACHABLE
+            await self.told(home.host, booking(request_id), UNKNOWN, lost)
+            self.assertEqual([], self.fleet.executions)
+
+        self.rows(check)
+
     def test_cold_start_of_a_declared_first_start(self):
         async def check() -> None:
             await self.told("north-0", booking("own"), ANSWER, Reason.NONE)
