A short loss of a range is always seen

Cause: ranges were looked at one by one over half a minute, so a newcomer could take a range, claim in it and leave between two looks; the regained range then seemed to be accounted for all along. Change: the ranked members are compared twice a second; a change has all ranges looked at in parts within CYCLE_SECONDS, below the four seconds that ownership gives. Figures: test_short_loss_between_two_requests_is_seen fails before and passes after.

--- a/damaskramp/dedup/ranges.py
+++ b/damaskramp/dedup/ranges.py
@@ -2,11 +2,12 @@
 
 from damaskramp.core import TimerService
 from damaskramp.dedup.request_ids import ClaimKey
-from damaskramp.ownership import Ownership
+from damaskramp.ownership import Owner, Ownership
 
 __all__ = ["RANGES", "RangeHistory", "thing_of"]
 
 RANGES = 256
+ALL_MEMBERS = 1 << 20
 
 
 def thing_of(key: ClaimKey) -> str:
@@ -23,6 +24,10 @@
 class RangeHistory:
     """Moments at which this node became the owner of each range.
 
+    Whenever the ranked members change it looks at every range within
+    `CYCLE_SECONDS`, which is shorter than any time for which a newcomer is ranked, so
+    that no loss goes unseen. It does so in parts, to keep the loop free.
+
     Parameters
     ----------
     timers : TimerService
@@ -31,22 +36,26 @@
         Owners inside the zone.
     """
 
-    OBSERVE_SECONDS = 0.25
-    OBSERVED_AT_ONCE = 2
+    OBSERVE_SECONDS = 0.5
+    PART_SECONDS = 0.02
+    RANGES_A_PART = 8
+    CYCLE_SECONDS = OBSERVE_SECONDS + PART_SECONDS * RANGES / RANGES_A_PART
 
     def __init__(self, timers: TimerService, ownership: Ownership) -> None:
         self._timers = timers
         self._ownership = ownership
         self._since: dict[str, float] = {}
+        self._ranked: tuple[Owner, ...] = ()
         self._next = 0
-        self._handle = timers.every(self.OBSERVE_SECONDS, self._observe_some)
+        self._stale = 0
+        self._handle = timers.every(self.OBSERVE_SECONDS, self._observe_changes)
 
     def owned_since(self, key: ClaimKey) -> float | None:
         """Monotonic time since which this node owns the range of `key`, or None."""
         return self._observe(thing_of(key))
 
     def observe_all(self) -> None:
-        """Look at every range; to be called when members change."""
+        """Look at every range at once."""
         for number in range(RANGES):
             self._observe(f"request/{number}")
 
@@ -54,10 +63,23 @@
         """Stop looking."""
         self._handle.cancel()
 
-    def _observe_some(self) -> None:
-        for _ in range(self.OBSERVED_AT_ONCE):
+    def _observe_changes(self) -> None:
+        ranked = self._ownership.successors("request", ALL_MEMBERS)
+        if ranked == self._ranked:
+            return
+        self._ranked = ranked
+        idle = self._stale == 0
+        self._stale = RANGES
+        if idle:
+            self._observe_part()
+
+    def _observe_part(self) -> None:
+        for _ in range(self.RANGES_A_PART):
             self._observe(f"request/{self._next}")
             self._next = (self._next + 1) % RANGES
+        self._stale -= self.RANGES_A_PART
+        if self._stale > 0:
+            self._timers.after(self.PART_SECONDS, self._observe_part)
 
     def _observe(self, thing: str) -> float | None:
         if not self._ownership.owns(thing):
--- a/damaskramp/dedup/tests/test_accounting.py
+++ b/damaskramp/dedup/tests/test_accounting.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self.mine = False
         self.since = 0.0
+        self.ranked = (Owner(HostId("h"), Incarnation(1), ""),)
 
     @property
     def active(self) -> bool:
@@ -47,7 +48,7 @@
         return self.since
 
     def successors(self, thing: str, count: int) -> tuple[Owner, ...]:
-        return (Owner(HostId("h"), Incarnation(1), ""),)
+        return self.ranked
 
     def owns(self, thing: str) -> bool:
         return self.mine
@@ -112,6 +113,22 @@
         ownership.since = 17.0
         self.assertEqual(17.0, ranges.owned_since(key))
 
+    def test_short_loss_between_two_requests_is_seen(self):
+        timers = VirtualTimers(10.0)
+        ownership = FixedOwnership()
+        ownership.mine = True
+        ranges = RangeHistory(timers, ownership)
+        key = claim_key("clubs", "own")
+        self.assertEqual(10.0, ranges.owned_since(key))
+        before = ownership.ranked
+        ownership.mine = False
+        ownership.ranked = (*before, Owner(HostId("new"), Incarnation(2), ""))
+        timers.advance(RangeHistory.CYCLE_SECONDS)
+        ownership.mine = True
+        ownership.ranked = before
+        timers.advance(20.0)
+        self.assertGreater(ranges.owned_since(key), 10.0)
+
     def test_home_zone_follows_the_signed_list_only(self):
         timers = VirtualTimers(10.0)
         zones = HomeZones(timers)
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -349,7 +349,6 @@
 
     def _follow_members(self, members: MemberTable) -> None:
         zone = ZoneName(self._settings.node.zone)
-        self._home.ranges.observe_all()
         self._limiter.set_hosts(frozenset(m.host for m in members.in_zone(zone)))
 
     def _spawn(self, coroutine: object) -> None:
