--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -18,6 +18,7 @@
     "Address",
     "BackendSettings",
     "BalancingSettings",
+    "DedupSettings",
     "LimitSettings",
     "ListenSettings",
     "LogSettings",
@@ -247,6 +248,24 @@
     confirm_seconds: PositiveSeconds = 0.25
 
 
+class DedupSettings(Settings):
+    """Bounds on what is kept for at-most-once execution.
+
+    Attributes
+    ----------
+    claims : int
+        Claims held at most; further ones are refused.
+    answer_bytes : int
+        Finished answers kept for repeats, in bytes.
+    clock_skew_seconds : float
+        Most that the clocks of a caller and of this host differ.
+    """
+
+    claims: Annotated[int, Field(gt=0)] = 100_000
+    answer_bytes: Annotated[int, Field(ge=0)] = 32 * MIB
+    clock_skew_seconds: PositiveSeconds = 2.0
+
+
 class MembershipTimes(Settings):
     """Times of membership and ownership.
 
@@ -288,5 +307,6 @@
     balancing: BalancingSettings = BalancingSettings()
     retries: RetrySettings = RetrySettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    dedup: DedupSettings = DedupSettings()
     membership: MembershipTimes = MembershipTimes()
     log: LogSettings = LogSettings()
--- a/damaskramp/core/timers.py
+++ b/damaskramp/core/timers.py
@@ -63,6 +63,17 @@
     def after(self, delay: float, callback: Callback) -> TimerHandle:
         """Run `callback` once, `delay` seconds from now."""
 
+    async def sleep(self, seconds: float) -> None:
+        """Wait until `seconds` have passed; at once where not positive."""
+        if seconds <= 0:
+            return
+        done = asyncio.get_running_loop().create_future()
+        handle = self.after(seconds, lambda: done.done() or done.set_result(None))
+        try:
+            await done
+        finally:
+            handle.cancel()
+
     def every(self, period: float, callback: Callback) -> TimerHandle:
         """Run `callback` each `period` seconds until cancelled."""
         outer = TimerHandle()
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import secrets
 
 import numpy as np
 from grpclib.server import Server as GrpcServer
@@ -22,6 +23,7 @@
     ZoneName,
     host_generator,
 )
+from damaskramp.dedup import ExecutionLedger, IdMint
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
 from damaskramp.membership import (
     GossipProtocol,
@@ -40,11 +42,15 @@
 from damaskramp.node.execution import Executor
 from damaskramp.node.gossip import GossipController
 from damaskramp.node.gossip_server import GossipService
+from damaskramp.node.home import Home
+from damaskramp.node.home_peers import GrpcHomeMessages, HomeService
+from damaskramp.node.home_router import HomeRouter
 from damaskramp.node.host_watch import HostWatch
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
+from damaskramp.node.releases import ReleaseGuard
 from damaskramp.node.responses import refuse_unreadable
 from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
@@ -63,6 +69,8 @@
 MICROSECONDS = 1_000_000
 ADMIN_CONNECTIONS = 64
 EXPIRE_SECONDS = 30.0
+ID_SECRET_BYTES = 32
+DEDUP_GAUGE_SECONDS = 5.0
 
 
 class Node:
@@ -154,6 +162,7 @@
         settings = self._settings
         zone = ZoneName(settings.node.zone)
         self._contexts = ContextTable()
+        self._build_dedup(zone)
         self._admission = FixedAdmission(DEFAULT_SLOTS)
         self._limiter = StaticSplit(self._timers, zone)
         own = HostId(settings.node.host)
@@ -181,6 +190,7 @@
                 self._telemetry.event,
             ),
             self._telemetry,
+            ReleaseGuard(zone, self._ledger, self._ownership),
         )
         self._balancer = ObservedBalancer(
             settings.balancing, self._timers, own, zone, self._telemetry.event
@@ -204,6 +214,7 @@
             HintSpreader(settings.retries, generator),
             self._telemetry.event,
         )
+        self._build_home()
         self._entry = Entry(
             settings,
             self._timers,
@@ -213,9 +224,49 @@
             self._dispatcher,
             self._allowances,
             self._telemetry,
+            self._homes,
+            self._mint,
             self._objectives,
         )
 
+    def _build_dedup(self, zone: ZoneName) -> None:
+        host = HostId(self._settings.node.host)
+        secret = secrets.token_bytes(ID_SECRET_BYTES)
+        self._mint = IdMint(self._timers, zone, host, self._incarnation, secret)
+        self._ledger = ExecutionLedger(
+            self._timers, self._repeat_window, self._settings.dedup.claims
+        )
+
+    def _build_home(self) -> None:
+        messages = GrpcHomeMessages(self._timers, self._pool)
+        self._home = Home(
+            self._settings,
+            self._timers,
+            self._bundle,
+            self._ownership,
+            self._mint,
+            self._dispatcher,
+            messages,
+        )
+        self._homes = HomeRouter(
+            self._settings,
+            self._members,
+            self._ownership,
+            self._mint,
+            self._home,
+            messages,
+        )
+        self._timers.every(DEDUP_GAUGE_SECONDS, self._publish_dedup)
+
+    def _publish_dedup(self) -> None:
+        self._telemetry.value("dedup_claims", len(self._home.claims))
+        self._telemetry.value("dedup_copies", len(self._home.copies))
+        self._telemetry.value("dedup_answer_bytes", self._home.claims.answer_bytes)
+        self._telemetry.value("dedup_executions", len(self._ledger))
+
+    def _repeat_window(self) -> float:
+        return self._home.retention()
+
     def _build_servers(self) -> None:
         limits = self._settings.limits
         bounds = HttpServerSettings(
@@ -232,9 +283,13 @@
         )
         gossip = GossipService(self._gossip, self._ownership)
         self._peer_service = PeerService(self._timers, self._executor)
-        self._peer = GrpcServer(
-            [self._peer_service, gossip, BundleService(self._held_bundle)]
-        )
+        services = [
+            self._peer_service,
+            gossip,
+            BundleService(self._held_bundle),
+            HomeService(self._timers, self._home, self._peer_service),
+        ]
+        self._peer = GrpcServer(services)
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -270,9 +325,11 @@
             self._settings.limits, self._timers, self._http, self._peer_service
         )
         finished = await drain.run()
+        await self._home.drain(self._settings.limits.drain_seconds)
         self._peer.close()
         await self._peer.wait_closed()
         await self._admin.drain(0.0)
+        self._home.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -308,6 +365,12 @@
                 "quarantined": self._quarantine.count(Standing.QUARANTINED),
             },
             "ejected": sorted(self._balancer.ejected),
+            "dedup": {
+                "claims": len(self._home.claims),
+                "copies": len(self._home.copies),
+                "answer_bytes": self._home.claims.answer_bytes,
+                "executions": len(self._ledger),
+            },
         }
 
     def _bundle_status(self, view: BundleView) -> dict:
@@ -344,6 +407,7 @@
         teams = frozenset(TeamId(team.name) for team in view.contents.teams)
         self._allowances.set_teams(teams)
         self._classes.replace(view.contents.bundle.classes)
+        self._home.set_bundle(view)
         if self._lifecycle.value is Lifecycle.STARTING:
             self._lifecycle.replace(Lifecycle.SERVING)
 
--- a/damaskramp/node/containment.py
+++ b/damaskramp/node/containment.py
@@ -127,7 +127,7 @@
 
     async def _find_death(self) -> int:
         """Moment of the death, 0 where the backend server lives."""
-        await asyncio.sleep(GATHER_SECONDS)
+        await self._timers.sleep(GATHER_SECONDS)
         # A process that is up again at once is told by all its connections broken.
         died = self._running.all_broken or not await self._backend.reachable(
             self._settings.confirm_seconds
--- a/damaskramp/node/dispatch.py
+++ b/damaskramp/node/dispatch.py
@@ -1,6 +1,5 @@
 """Choosing a host for a call, and trying again within the retry budget."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -10,6 +9,7 @@
 from damaskramp.membership import Member, MemberTable
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.execution import Executor
+from damaskramp.node.home_messages import Releaser
 from damaskramp.node.peers import PeerClient
 from damaskramp.node.suspicion import CallSuspicion
 from damaskramp.quarantine import Quarantine
@@ -29,7 +29,7 @@
 SHED_STATUS = 503
 
 
-class Dispatcher:
+class Dispatcher(Releaser):
     """Sends calls to the nodes beside the backend servers of their service.
 
     Parameters
@@ -114,7 +114,7 @@
             if decision.step is Step.STOP:
                 break
             self._event(decision.step.value)
-            await _sleep(self._timers, decision.wait)
+            await self._timers.sleep(decision.wait)
         return _told(reply, may_have_run).with_retries(loop.left)
 
     async def _attempt(self, member: Member, call: Call) -> Reply:
@@ -153,17 +153,6 @@
     return reply
 
 
-async def _sleep(timers: TimerService, seconds: float) -> None:
-    if seconds <= 0:
-        return
-    done = asyncio.get_running_loop().create_future()
-    handle = timers.after(seconds, lambda: done.done() or done.set_result(None))
-    try:
-        await done
-    finally:
-        handle.cancel()
-
-
 def _unspent(reply: Reply, lent: int) -> int:
     """Retries that came back; an attempt whose end is unknown may have spent all."""
     if reply.reason in (Reason.CONNECT_FAILED, Reason.ANSWER_LOST):
--- a/damaskramp/node/execution.py
+++ b/damaskramp/node/execution.py
@@ -15,6 +15,7 @@
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.fields import CONTEXT, PRIORITY, REQUEST_ID, TEAM, TIMEOUT_MS
 from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.releases import ReleaseGuard
 from damaskramp.node.telemetry import Telemetry
 
 __all__ = ["Executor"]
@@ -43,6 +44,8 @@
         Keeping suspects apart.
     telemetry : Telemetry
         Counters.
+    releases : ReleaseGuard
+        Record of non-idempotent calls that were released here.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         contexts: ContextTable,
         containment: Containment,
         telemetry: Telemetry,
+        releases: ReleaseGuard,
     ) -> None:
         self._settings = settings
         self._timers = timers
@@ -66,6 +70,7 @@
         self._contexts = contexts
         self._containment = containment
         self._telemetry = telemetry
+        self._releases = releases
 
     @property
     def running(self) -> int:
@@ -132,13 +137,19 @@
         remaining = context.deadline - self._timers.now
         if remaining <= 0:
             return Reply.not_run(Reason.DEADLINE_EXCEEDED)
+        refusal = self._releases.begin(context)
+        if refusal is not None:
+            return refusal.with_retries(context.retries_left)
+        ran = True
         token, running = self._contexts.issue(context)
         try:
             request = _backend_request(call, token, remaining)
             work = self._exchange(context, request, remaining)
             reply = await self._containment.release(call, work)
+            ran = reply.outcome is not Outcome.NOT_RUN
         finally:
             self._contexts.end(token)
+            self._releases.end(context, ran)
         return reply.with_retries(running.retries_left)
 
     async def _exchange(
--- a/damaskramp/node/peer_server.py
+++ b/damaskramp/node/peer_server.py
@@ -1,5 +1,8 @@
 """Server side of the calls between nodes."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
@@ -43,10 +46,16 @@
 
     async def Execute(self, stream: Stream) -> None:
         """Run one call and stream its reply."""
+        with self.serving():
+            await self._serve(stream)
+
+    @contextmanager
+    def serving(self) -> Iterator[None]:
+        """Count a call while it is served."""
         self._active += 1
         self._last_call = self._timers.now
         try:
-            await self._serve(stream)
+            yield
         finally:
             self._active -= 1
 
--- a/damaskramp/node/peers.py
+++ b/damaskramp/node/peers.py
@@ -1,10 +1,11 @@
 """Calls to other nodes by gRPC."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 
-from grpclib.client import Channel, Stream
+from expression import Error, Ok, Result
+from grpclib.client import Channel, Stream, UnaryStreamMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from damaskramp.core import Reason, TimerService
@@ -13,9 +14,10 @@
 from damaskramp.node.calls import Call, Reply
 from damaskramp.node.codec import decode_head, encode_call
 from damaskramp.tls import TlsContexts
+from damaskramp.wire import peer_pb2
 from damaskramp.wire.peer_grpc import PeerStub
 
-__all__ = ["PeerClient", "PeerPool"]
+__all__ = ["FAILURES", "PeerClient", "PeerPool", "exchange"]
 
 CONNECT_SECONDS = 1.0
 GRACE_SECONDS = 0.05
@@ -82,53 +84,101 @@
         remaining = call.context.deadline - self._timers.now
         if remaining <= 0:
             return Reply.not_run(Reason.DEADLINE_EXCEEDED)
-        stub = PeerStub(self._pool.channel(member.peer))
-        exchange = _Exchange(call, self._timers)
-        try:
-            return await exchange.run(stub, remaining)
-        except (*FAILURES, TimeoutError) as error:
-            return exchange.failed(error)
+        method = PeerStub(self._pool.channel(member.peer)).Execute
+        sent = await exchange(
+            method, lambda: encode_call(call, self._timers.now), _same, remaining
+        )
+        if sent.is_error():
+            return Reply.not_run(Reason.CONNECT_FAILED, detail=sent.error)
+        return sent.ok
+
+
+async def exchange(
+    method: UnaryStreamMethod,
+    make_message: Callable[[], object],
+    decode: Callable[[object], peer_pb2.ExecuteReply],
+    remaining: float,
+) -> Result[Reply, str]:
+    """Send one message and read the reply that streams back.
+
+    Returns
+    -------
+    Result
+        The reply, unknown where it was lost; an error where the message was
+        provably not sent.
+    """
+    exchanged = _Exchange(make_message, decode)
+    try:
+        await exchanged.run(method, remaining)
+    except (*FAILURES, TimeoutError) as error:
+        return exchanged.failed(error)
+    return Ok(exchanged.reply)
 
 
 class _Exchange:
-    """One call on one stream, and how far it has come."""
-
-    def __init__(self, call: Call, timers: TimerService) -> None:
-        self._call = call
-        self._timers = timers
+    """One message on one stream, and how far it has come."""
+
+    def __init__(
+        self,
+        make_message: Callable[[], object],
+        decode: Callable[[object], peer_pb2.ExecuteReply],
+    ) -> None:
+        self._make_message = make_message
+        self._decode = decode
         self._message_sent = False
+        self._reply: Reply | None = None
+
+    @property
+    def reply(self) -> Reply | None:
+        """Reply, once it has been read."""
+        return self._reply
 
-    async def run(self, stub: PeerStub, remaining: float) -> Reply:
+    async def run(self, method: UnaryStreamMethod, remaining: float) -> None:
+        """Send the message and read the reply."""
         async with AsyncExitStack() as stack:
             stream = await stack.enter_async_context(
-                stub.Execute.open(timeout=remaining + GRACE_SECONDS)
+                method.open(timeout=remaining + GRACE_SECONDS)
             )
             async with asyncio.timeout(min(CONNECT_SECONDS, remaining)):
                 await stream.send_request()
-            message = encode_call(self._call, self._timers.now)
+            message = self._make_message()
             self._message_sent = True
             await stream.send_message(message, end=True)
             first = await stream.recv_message()
             if first is None:
                 raise ConnectionResetError("the peer sent no reply")
-            if not first.head.more:
+            head = self._decode(first).head
+            if not head.more:
+                self._reply = decode_head(head)
                 await stream.recv_message()
-                return decode_head(first.head)
-            return decode_head(first.head, _tail(stack.pop_all(), stream))
+                return
+            tail = _tail(stack.pop_all(), stream, self._decode)
+            self._reply = decode_head(head, tail)
 
-    def failed(self, error: BaseException) -> Reply:
+    def failed(self, error: BaseException) -> Result[Reply, str]:
         """Reply for an exchange that ended with `error`."""
+        if self._reply is not None:
+            # It was read whole, however its stream ended.
+            return Ok(self._reply)
         if not self._message_sent:
-            return Reply.not_run(Reason.CONNECT_FAILED, detail=str(error))
+            return Error(str(error))
         if isinstance(error, TimeoutError):
-            return Reply.unknown(Reason.DEADLINE_EXCEEDED)
-        return Reply.unknown(Reason.ANSWER_LOST, str(error))
+            return Ok(Reply.unknown(Reason.DEADLINE_EXCEEDED))
+        return Ok(Reply.unknown(Reason.ANSWER_LOST, str(error)))
+
+
+def _same(message: peer_pb2.ExecuteReply) -> peer_pb2.ExecuteReply:
+    return message
 
 
-async def _tail(held: AsyncExitStack, stream: Stream) -> AsyncIterator[bytes]:
+async def _tail(
+    held: AsyncExitStack,
+    stream: Stream,
+    decode: Callable[[object], peer_pb2.ExecuteReply],
+) -> AsyncIterator[bytes]:
     try:
         async with held:
             async for message in stream:
-                yield message.chunk
+                yield decode(message).chunk
     except (*FAILURES, TimeoutError) as error:
         raise BrokenAnswerError(str(error)) from error
--- a/damaskramp/node/retrying.py
+++ b/damaskramp/node/retrying.py
@@ -65,13 +65,13 @@
         context = call.context
         repeat = id_stated and self._failures.holds(context.team, context.request_id)
         if repeat and not self._budgets.take(context.team):
-            return self._exhausted(id_stated)
+            return self._exhausted()
         granted = 0
         if not repeat:
             granted = self._budgets.grant(context.team, head.retry_ratio, head.retries)
         reply = await dispatch(_lend(call, granted))
         self._budgets.give_back(context.team, min(granted, reply.retries_left))
-        if id_stated:
+        if context.idempotent:
             self._remember(call, reply)
         return _told(reply, id_stated)
 
@@ -87,7 +87,7 @@
         digest = call_digest(request.method, request.target, request.body)
         lent = parent.begin_call(digest)
         if lent is None:
-            return self._exhausted(id_stated)
+            return self._exhausted()
         unspent = 0
         failed = True
         try:
@@ -107,18 +107,24 @@
         return replace(reply, retry_after=self._hints.spread(reply.retry_after))
 
     def _remember(self, call: Call, reply: Reply) -> None:
+        """Remember an id whose attempt may have run and failed.
+
+        A repeat of an attempt that did not run is no further attempt at the
+        services below; the home of a non-idempotent id never releases it twice.
+        """
         context = call.context
+        if reply.outcome is Outcome.NOT_RUN:
+            return
         if _failed(reply):
             self._failures.add(context.team, context.request_id)
         else:
             self._failures.discard(context.team, context.request_id)
 
-    def _exhausted(self, id_stated: bool) -> Reply:
-        """Refuse a repeat; one under a stated id may have run before."""
+    def _exhausted(self) -> Reply:
+        """Refuse a repeat; what it repeats may have run."""
         self._event("repeat_refused")
-        outcome = Outcome.UNKNOWN if id_stated else Outcome.NOT_RUN
         return Reply(
-            outcome,
+            Outcome.UNKNOWN,
             Reason.RETRIES_EXHAUSTED,
             retry_after=EXHAUSTED_RETRY_AFTER_SECONDS,
         )
--- a/damaskramp/node/tests/chain.py
+++ b/damaskramp/node/tests/chain.py
@@ -15,6 +15,7 @@
 from damaskramp.config import NodeSettings, QuarantineSettings, RetrySettings
 from damaskramp.core import (
     HostId,
+    Incarnation,
     Outcome,
     Reason,
     Section,
@@ -22,6 +23,7 @@
     VirtualTimers,
     ZoneName,
 )
+from damaskramp.dedup import IdMint
 from damaskramp.http import HttpRequest
 from damaskramp.membership import LocalBroadcast, Member, MemberTable
 from damaskramp.node.calls import Reply
@@ -148,6 +150,8 @@
             dispatcher,
             allowances,
             telemetry,
+            None,
+            IdMint(self.timers, ZoneName("z1"), HostId("h"), Incarnation(1), b"secret"),
             ObjectiveKeeper(self.timers, self._bundle),
         )
 
