The TLS test sends an idempotent call

Cause: its message left idempotent unset, which means a non-idempotent call, and it carried no claim; an executing node releases no such call any more. Ruled out: letting unclaimed calls pass for the test. Change: the message says idempotent, as its GET of a reading route is. The test is about which certificates may send calls, and checks them as before.

--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -19,7 +19,9 @@
 
 REFUSALS = (OSError, GRPCError, StreamTerminatedError, ProtocolError, TimeoutError)
 REQUEST = ExecuteRequest(
-    context=CallContext(team="clubs", service="board", remaining_ms=5000),
+    context=CallContext(
+        team="clubs", service="board", remaining_ms=5000, idempotent=True
+    ),
     method="GET",
     target="/board/x",
 )
