Leases of permits in the node, over gRPC

Cause: the node still split rates evenly over the hosts of a zone. Ruled out: single-precision numbers rounded to nearest on the wire, which could make permits; amounts are rounded down and holdings up.

--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -14,6 +14,7 @@
     "NodeIdentity",
     "NodeSettings",
     "PlatformSettings",
+    "QuotaSection",
     "Settings",
     "TrustSettings",
 ]
@@ -114,6 +115,24 @@
     depth: Annotated[int, Field(gt=0, le=64)] = 32
 
 
+class QuotaSection(Settings):
+    """Leases of permits; alike on all nodes of a fleet.
+
+    Attributes
+    ----------
+    lease_seconds : float
+        Validity of a lease, and the time for which a new owner mints nothing.
+    wait_seconds : float
+        Longest time that a request waits for a permit.
+    lending : bool
+        Whether zones lend to each other.
+    """
+
+    lease_seconds: PositiveSeconds = 2.0
+    wait_seconds: PositiveSeconds = 0.5
+    lending: bool = True
+
+
 class LogSettings(Settings):
     """Logging."""
 
@@ -129,4 +148,5 @@
     platform: PlatformSettings
     trust: TrustSettings
     limits: LimitSettings = LimitSettings()
+    quota: QuotaSection = QuotaSection()
     log: LogSettings = LogSettings()
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -29,9 +29,10 @@
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
+from damaskramp.node.quota_service import QuotaNode
 from damaskramp.node.telemetry import Telemetry
+from damaskramp.ownership import ListedOwnership
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
-from damaskramp.quota import StaticSplit
 
 __all__ = ["Node"]
 
@@ -65,7 +66,6 @@
         self._build_call_path()
         self._build_servers()
         self._bundle.subscribe(self._follow_bundle)
-        self._members.subscribe(self._follow_members)
 
     @property
     def settings(self) -> NodeSettings:
@@ -105,7 +105,17 @@
         zone = ZoneName(settings.node.zone)
         self._contexts = ContextTable()
         self._admission = FixedAdmission(DEFAULT_SLOTS)
-        self._limiter = StaticSplit(self._timers, zone)
+        host = HostId(settings.node.host)
+        self._ownership = ListedOwnership(self._timers, host, zone, self._members)
+        self._quota = QuotaNode(
+            settings,
+            self._timers,
+            self._incarnation,
+            self._members,
+            self._ownership,
+            self._pool,
+            self._telemetry,
+        )
         self._executor = Executor(
             settings,
             self._timers,
@@ -129,7 +139,7 @@
             self._timers,
             self._bundle,
             self._contexts,
-            self._limiter,
+            self._quota.limiter,
             self._dispatcher,
             self._telemetry,
         )
@@ -148,7 +158,8 @@
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
-        self._peer = GrpcServer([PeerService(self._timers, self._executor)])
+        peer = PeerService(self._timers, self._executor)
+        self._peer = GrpcServer([peer, self._quota.service])
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -164,6 +175,7 @@
         await self._http.start(*_split(listen.http))
         self._spawn(self._watch_bundle().run())
         self._spawn(self._watch_hosts().run())
+        self._quota.start()
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
         LOGGER.info("started", extra=fields)
 
@@ -172,6 +184,7 @@
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
         finished = await self._http.drain(self._settings.limits.drain_seconds)
+        self._quota.stop()
         self._peer.close()
         await self._peer.wait_closed()
         await self._admin.drain(0.0)
@@ -194,6 +207,7 @@
             "incarnation": self._incarnation,
             "state": self._lifecycle.value.value,
             "bundle": None if view is None else _bundle_status(view),
+            "quota": self._quota.status(),
             "members": [_member_status(member) for member in self._members.value],
             "backend": {
                 "service": getattr(self._settings.backend, "service", None),
@@ -215,15 +229,11 @@
         return HostWatch(self._settings, self._members, hosts, self._telemetry)
 
     def _follow_bundle(self, view: BundleView | None) -> None:
-        self._limiter.set_bundle(view)
+        self._quota.set_bundle(view)
         self._classes.replace(view.contents.bundle.classes)
         if self._lifecycle.value is Lifecycle.STARTING:
             self._lifecycle.replace(Lifecycle.SERVING)
 
-    def _follow_members(self, members: MemberTable) -> None:
-        zone = ZoneName(self._settings.node.zone)
-        self._limiter.set_hosts(frozenset(m.host for m in members.in_zone(zone)))
-
     def _spawn(self, coroutine: object) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
--- a/damaskramp/quota/messages.py
+++ b/damaskramp/quota/messages.py
@@ -7,7 +7,7 @@
 __all__ = ["Answer", "Ask", "BundleOrder", "Grant", "Holding", "TeamAnswer", "TeamAsk"]
 
 BundleOrder = tuple[int, str]
-"""Version and digest of a bundle."""
+"""Version of a bundle and the first digits of its digest."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/damaskramp/quota/shares.py
+++ b/damaskramp/quota/shares.py
@@ -17,6 +17,9 @@
 __all__ = ["Allotment", "ShareLedger", "allot"]
 
 
+DIGEST_DIGITS = 16
+
+
 @dataclass(frozen=True, slots=True)
 class Allotment:
     """Part of a team's limits.
@@ -53,6 +56,12 @@
     return Allotment(team.rate * shares[zone] / able, float(bursts[zone]))
 
 
+def bundle_order(view: BundleView) -> BundleOrder:
+    """Version and the first digits of the digest, enough to tell two bundles."""
+    version, digest = view.signed.order
+    return version, digest[:DIGEST_DIGITS]
+
+
 def _whole(total: int, shares: dict[ZoneName, float]) -> dict[ZoneName, int]:
     exact = {name: total * share for name, share in shares.items()}
     whole = {name: int(value + 1e-9) for name, value in exact.items()}
@@ -93,7 +102,7 @@
     @property
     def order(self) -> BundleOrder:
         """Order of the bundle in force."""
-        return self._view.signed.order if self._view else (0, "")
+        return bundle_order(self._view) if self._view else (0, "")
 
     @property
     def since(self) -> float:
@@ -102,7 +111,7 @@
 
     def adopt(self, view: BundleView | None, now: float, wall_now: float) -> None:
         """Follow a new bundle."""
-        if view is None or view.signed.order == self.order:
+        if view is None or bundle_order(view) == self.order:
             self._view = view or self._view
             return
         known, self._view = self._view, view
--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -304,7 +304,9 @@
         except (OSError, ValueError):
             return False
         listed = sum(state != "gone" for state in self._listed.values())
-        return status["state"] == "serving" and len(status["members"]) >= listed
+        if status["state"] != "serving" or not status["quota"]["ready"]:
+            return False
+        return len(status["members"]) >= listed
 
     def _node_settings(self, spec: HostSpec) -> str:
         return f"""\
