--- a/damaskramp/node/quota_codec.py
+++ b/damaskramp/node/quota_codec.py
@@ -210,10 +210,14 @@
 def _at_most(value: float) -> float:
     """Nearest single-precision number that is no greater: none is made by rounding."""
     near = np.float32(value)
-    return float(near if near <= value else np.nextafter(near, np.float32(-np.inf)))
+    if float(near) > value:
+        near = np.nextafter(near, np.float32(-np.inf))
+    return float(near)
 
 
 def _at_least(value: float) -> float:
     """Nearest single-precision number that is no smaller: a holding is not hidden."""
     near = np.float32(value)
-    return float(near if near >= value else np.nextafter(near, np.float32(np.inf)))
+    if float(near) < value:
+        near = np.nextafter(near, np.float32(np.inf))
+    return float(near)
--- a/damaskramp/quota/leased.py
+++ b/damaskramp/quota/leased.py
@@ -33,6 +33,9 @@
 DEMAND_SECONDS = 2.0
 """Time over which demand is averaged."""
 
+LOW_LEVEL = 1.0
+"""Permits below which a standing lease is refilled before it runs dry."""
+
 LEAST_DEMAND = 0.25
 """Requests a second below which no standing lease is asked for."""
 
@@ -99,6 +102,7 @@
     woken: int = 0
     pending: _Pending | None = None
     next_ask: float = float("-inf")
+    next_refill: float = float("-inf")
     gap: float = 0.0
 
 
@@ -209,6 +213,7 @@
         state.pending = None
         state.gap = team.wait
         state.next_ask = now + team.wait
+        state.next_refill = now + max(team.wait, self._settings.refill_seconds)
         granter = Owner(answer.host, answer.incarnation, pending.owner.peer)
         if not self._ownership.may_release(thing_of(team.team), granter):
             self._counters.late_grants += len(team.grants)
@@ -286,7 +291,8 @@
             return False
         fraction = self._settings.renew_fraction
         if state.pool.has_standing(now):
-            return state.pool.renewal_due(now, fraction)
+            low = state.pool.level(now) < LOW_LEVEL and now >= state.next_refill
+            return low or state.pool.renewal_due(now, fraction)
         period = fraction * self._settings.lease_seconds
         return state.pending is None and now >= state.next_ask + period
 
--- a/damaskramp/quota/mint.py
+++ b/damaskramp/quota/mint.py
@@ -37,6 +37,9 @@
 LEAST_STANDING = 4.0
 """Permits; a smaller standing lease is full too often, and what it adds is lost."""
 
+LEAST_CROWDED = 1.0
+"""Permits; a standing lease that holds no whole permit is of no use."""
+
 LENDABLE = 0.9
 """Part of the spare rate and capacity that other zones may have."""
 
@@ -193,6 +196,7 @@
         demand: float,
         part: float,
         level: float,
+        crowded: bool,
     ) -> Grant | None:
         """Renew the standing lease of a borrower.
 
@@ -204,6 +208,9 @@
             Its part of the demand of all borrowers.
         level : float
             Permits that its standing lease still holds.
+        crowded : bool
+            Whether the owner could not take an ask for each request: then even a
+            lease of one permit is better than none.
         """
         self._settle(now)
         settings = self._settings
@@ -220,7 +227,8 @@
             allowed - others,
             self.free_capacity + account.standing_capacity,
         )
-        if capacity < LEAST_STANDING or rate <= 0.0:
+        least = LEAST_CROWDED if crowded else LEAST_STANDING
+        if capacity < least or rate <= 0.0:
             return None
         amount = max(0.0, min(capacity - level, self._bucket.level(now)))
         return self._stand(now, borrower, number, (amount, rate, capacity))
--- a/damaskramp/quota/owner.py
+++ b/damaskramp/quota/owner.py
@@ -27,6 +27,10 @@
 DEMAND_SECONDS = 3.0
 MISSING = 1.2
 """Demand that a zone provides for, as a multiple of what it sees."""
+ASKING_SECONDS = 1.0
+UNBOUNDED_BORROWERS = 4
+"""Borrowers that may ask for waiting requests as soon as they come."""
+
 LEASE_NUMBERS = 1 << 48
 
 
@@ -37,9 +41,12 @@
 
 @dataclass(slots=True)
 class _Demand:
+    """What a borrower needs; `wanted` is its last ask for waiting requests."""
+
     rate: float
     want: float
     until: float
+    wanted: float
 
 
 @dataclass(slots=True)
@@ -78,9 +85,10 @@
         """Permits that waiting requests did not get."""
         return sum(demand.want for demand in self.demands.values())
 
-    def starved(self) -> int:
-        """Borrowers whose last ask was not met."""
-        return sum(demand.want > 0 for demand in self.demands.values())
+    def asking(self, now: float) -> int:
+        """Borrowers that lately asked for waiting requests."""
+        since = now - ASKING_SECONDS
+        return sum(demand.wanted >= since for demand in self.demands.values())
 
 
 class QuotaOwner:
@@ -300,7 +308,7 @@
             grants = self._lend(now, share, ask.number, asked)
         else:
             grants = self._serve(now, share, borrower, asked)
-        wait = self._wait(share)
+        wait = self._wait(share, now)
         settled = self._settled(share, now)
         return TeamAnswer(asked.team, tuple(grants), wait, settled)
 
@@ -313,7 +321,9 @@
         for mint in mints:
             mint.restate(now, borrower, asked.holdings)
         until = now + max(DEMAND_SECONDS, self._settings.lease_seconds)
-        share.demands[borrower] = _Demand(asked.demand, 0.0, until)
+        former = share.demands.get(borrower)
+        wanted = now if asked.want > 0 or former is None else former.wanted
+        share.demands[borrower] = _Demand(asked.demand, 0.0, until, wanted)
         want = asked.want
         grants = []
         for mint in mints:
@@ -322,10 +332,14 @@
                 grants.append(grant)
                 want -= grant.amount
         share.demands[borrower].want = want
-        part = asked.demand / max(share.demand(now), 1e-9)
+        total = share.demand(now)
+        part = asked.demand / max(total, 1e-9)
+        crowded = total > self._settings.asks_per_second
         for mint in mints:
             level = _level(mint, borrower, asked.holdings)
-            grant = mint.stand(now, borrower, self._number(), asked.demand, part, level)
+            grant = mint.stand(
+                now, borrower, self._number(), asked.demand, part, level, crowded
+            )
             if grant is not None:
                 grants.append(grant)
         return grants
@@ -368,9 +382,10 @@
             grant = share.mint.spot(now, borrower, self._number(), asked.want)
         return [grant] if grant is not None else []
 
-    def _wait(self, share: TeamShare) -> float:
+    def _wait(self, share: TeamShare, now: float) -> float:
         """Time between the asks of starved borrowers, which bounds the asks."""
-        gap = share.starved() / self._settings.asks_per_second
+        more = share.asking(now) - UNBOUNDED_BORROWERS
+        gap = more / self._settings.asks_per_second
         return min(LONGEST_WAIT_SECONDS, max(self._settings.least_gap_seconds, gap))
 
     def _settled(self, share: TeamShare, now: float) -> bool:
--- a/damaskramp/quota/settings.py
+++ b/damaskramp/quota/settings.py
@@ -33,6 +33,8 @@
         Asks of starved borrowers that an owner takes for one team.
     answer_seconds : float
         Time after which an unanswered ask is sent anew.
+    refill_seconds : float
+        Least time between two asks that only refill a lease.
     tick_seconds : float
         Time between two looks at what is due.
     settle_seconds : float
@@ -46,12 +48,13 @@
     drift: float = 0.001
     wait_seconds: float = 0.5
     renew_fraction: float = 0.6
-    leased_rate: float = 0.8
-    leased_capacity: float = 0.5
+    leased_rate: float = 0.6
+    leased_capacity: float = 0.7
     least_gap_seconds: float = 0.05
     loan_gap_seconds: float = 0.1
     asks_per_second: float = 20.0
     answer_seconds: float = 0.2
+    refill_seconds: float = 0.5
     tick_seconds: float = 0.05
     settle_seconds: float = 60.0
     lending: bool = True
--- a/damaskramp/quota/tests/fleet.py
+++ b/damaskramp/quota/tests/fleet.py
@@ -179,8 +179,11 @@
     def serve(self, ask: Ask) -> None:
         self.received += 1
         answer = self.owner.answer(ask)
-        take = FakeNode.take_loan if ask.between_zones else FakeNode.take_answer
-        self.fleet.post(self.host, ask.host, lambda node: take(node, answer))
+        self.reply(ask, answer)
+
+    def reply(self, ask: Ask, answer: Answer) -> None:
+        name = "take_loan" if ask.between_zones else "take_answer"
+        self.fleet.post(self.host, ask.host, lambda node: getattr(node, name)(answer))
 
     def take_answer(self, answer: Answer) -> None:
         self.limiter.receive(answer)
