--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -5,8 +5,8 @@
 ``refusals`` offers Poisson arrivals below the team's rate, spread evenly, with half
 of them at one node, or all in one zone. A refusal counts as wrong where a bucket of
 the whole rate and burst, debited by what was admitted, still held a permit.
-``cost`` grows a zone with its load per node and reports messages and bytes sent (sizes of
-the encoded messages, and of HTTP/2 and gRPC framing by `FRAMING_BYTES`).
+``cost`` grows a zone with its load per node and reports messages and bytes sent
+(sizes of the encoded messages, and of HTTP/2 and gRPC framing by `FRAMING_BYTES`).
 """
 
 import asyncio
@@ -197,9 +197,8 @@
                 for way in WAYS:
                     print(measure_refusals(float(rate), skew, way), flush=True)
     if FLAGS.table in ("cost", "all"):
-        print(
-            "nodes zones teams  lease  asks/s/n owner/s mx   B/s mean    B/s max   waited"
-        )
+        head = "nodes zones teams  lease  asks/s/n owner/s mx   B/s mean    B/s max"
+        print(head + "    waited   refused")
         for nodes in FLAGS.nodes:
             print(measure_cost(int(nodes), FLAGS.zones, FLAGS.teams), flush=True)
 
--- a/damaskramp/http/messages.py
+++ b/damaskramp/http/messages.py
@@ -3,12 +3,25 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
-__all__ = ["Headers", "HttpRequest", "HttpResponse", "split_target"]
+__all__ = [
+    "BODILESS_STATUSES",
+    "BrokenAnswerError",
+    "Headers",
+    "HttpRequest",
+    "HttpResponse",
+    "split_target",
+]
+
+BODILESS_STATUSES = frozenset({204, 304})
 
 Headers = tuple[tuple[bytes, bytes], ...]
 """Name and value pairs; names are lower case."""
 
 
+class BrokenAnswerError(ConnectionError):
+    """The rest of an answer did not come."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A whole request.
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+import numpy as np
 from grpclib.server import Server as GrpcServer
 
 from damaskramp.admission import FixedAdmission
@@ -14,24 +15,36 @@
     HostId,
     Incarnation,
     LoopTimers,
+    ServiceName,
     TimerService,
     ZoneName,
 )
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
-from damaskramp.membership import MemberTable
+from damaskramp.membership import (
+    GossipProtocol,
+    Member,
+    MembershipSettings,
+    MemberTable,
+)
 from damaskramp.node.admin import Admin
-from damaskramp.node.bundle_watch import BundleWatch
+from damaskramp.node.bundle_controller import BundleController
+from damaskramp.node.bundle_exchange import BundleClient, BundleService, HeldBundle
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
+from damaskramp.node.drain import GracefulDrain
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
+from damaskramp.node.gossip import GossipController
+from damaskramp.node.gossip_server import GossipService
 from damaskramp.node.host_watch import HostWatch
 from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
 from damaskramp.node.quota_service import QuotaNode
+from damaskramp.node.responses import refuse_unreadable
 from damaskramp.node.telemetry import Telemetry
-from damaskramp.ownership import ListedOwnership
+from damaskramp.ownership import AcknowledgedOwnership, Owner, OwnershipSettings
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 
 __all__ = ["Node"]
@@ -60,9 +73,12 @@
         self._settings = settings
         self._timers = timers or LoopTimers()
         self._incarnation = Incarnation(int(self._timers.wall_now * MICROSECONDS))
+        self._seed = [*settings.node.host.encode(), self._incarnation]
         self._tasks: list[asyncio.Task] = []
         self._build_sections()
         self._build_clients()
+        self._build_gossip()
+        self._build_bundle_controller()
         self._build_call_path()
         self._build_servers()
         self._bundle.subscribe(self._follow_bundle)
@@ -91,6 +107,7 @@
         classes: tuple[str, ...] = ()
         self._classes = board.create("classes", classes)
         self._telemetry = Telemetry(self._classes)
+        self._objectives = ObjectiveKeeper(self._timers, self._bundle)
 
     def _build_clients(self) -> None:
         settings = self._settings
@@ -100,13 +117,33 @@
         limit = settings.limits.whole_answer_bytes
         self._backend = _client(backend, settings.limits.connections, limit)
 
+    def _build_gossip(self) -> None:
+        times = self._settings.membership
+        own = _own_member(self._settings, self._incarnation)
+        self._ownership = AcknowledgedOwnership(
+            OwnershipSettings(times.silence_seconds, times.period_seconds),
+            self._timers,
+            Owner(own.host, own.incarnation, own.peer),
+        )
+        gossip = MembershipSettings(period_seconds=times.period_seconds)
+        random = np.random.default_rng(self._seed)
+        protocol = GossipProtocol(gossip, self._timers, own, random)
+        self._broadcast = protocol.broadcast
+        self._gossip = GossipController(
+            gossip,
+            self._timers,
+            protocol,
+            self._ownership,
+            self._members,
+            self._pool,
+            self._telemetry,
+        )
+
     def _build_call_path(self) -> None:
         settings = self._settings
         zone = ZoneName(settings.node.zone)
         self._contexts = ContextTable()
         self._admission = FixedAdmission(DEFAULT_SLOTS)
-        host = HostId(settings.node.host)
-        self._ownership = ListedOwnership(self._timers, host, zone, self._members)
         self._quota = QuotaNode(
             settings,
             self._timers,
@@ -116,6 +153,7 @@
             self._pool,
             self._telemetry,
         )
+        self._ownership.subscribe_renewal(self._quota.renew)
         self._executor = Executor(
             settings,
             self._timers,
@@ -142,6 +180,7 @@
             self._quota.limiter,
             self._dispatcher,
             self._telemetry,
+            self._objectives,
         )
 
     def _build_servers(self) -> None:
@@ -153,13 +192,21 @@
             limits.header_seconds,
             limits.idle_seconds,
         )
-        self._http = HttpServer(bounds, self._entry.handle)
-        admin = Admin(self._telemetry, self.status)
+        self._http = HttpServer(bounds, self._entry.handle, refuse_unreadable)
+        admin = Admin(self._telemetry, self.status, self._objectives.document)
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
-        peer = PeerService(self._timers, self._executor)
-        self._peer = GrpcServer([peer, self._quota.service])
+        gossip = GossipService(self._gossip, self._ownership)
+        self._peer_service = PeerService(self._timers, self._executor)
+        self._peer = GrpcServer(
+            [
+                self._peer_service,
+                gossip,
+                BundleService(self._held_bundle),
+                self._quota.service,
+            ]
+        )
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -173,8 +220,9 @@
         await self._admin.start(*_split(listen.admin))
         await self._peer.start(*_split(listen.peer))
         await self._http.start(*_split(listen.http))
-        self._spawn(self._watch_bundle().run())
+        self._spawn(self._bundle_controller.run())
         self._spawn(self._watch_hosts().run())
+        self._spawn(self._gossip.run())
         self._quota.start()
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
         LOGGER.info("started", extra=fields)
@@ -184,7 +232,11 @@
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
         await self._quota.hand_over()
-        finished = await self._http.drain(self._settings.limits.drain_seconds)
+        await self._gossip.leave()
+        drain = GracefulDrain(
+            self._settings.limits, self._timers, self._http, self._peer_service
+        )
+        finished = await drain.run()
         self._quota.stop()
         self._peer.close()
         await self._peer.wait_closed()
@@ -192,6 +244,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._gossip.close()
         self._pool.close()
         self._backend.close()
         self._platform.close()
@@ -205,9 +258,11 @@
         return {
             "host": self._settings.node.host,
             "zone": self._settings.node.zone,
-            "incarnation": self._incarnation,
+            "incarnation": self._ownership.own.incarnation,
+            "ownership_active": self._ownership.active,
+            "periods": self._gossip.protocol.periods,
             "state": self._lifecycle.value.value,
-            "bundle": None if view is None else _bundle_status(view),
+            "bundle": None if view is None else self._bundle_status(view),
             "quota": self._quota.status(),
             "members": [_member_status(member) for member in self._members.value],
             "backend": {
@@ -218,16 +273,34 @@
             },
         }
 
-    def _watch_bundle(self) -> BundleWatch:
+    def _bundle_status(self, view: BundleView) -> dict:
+        return {
+            "version": view.version,
+            "digest": view.signed.digest,
+            "withdrawn_keys": len(view.withdrawn),
+            "in_force_at": self._bundle_controller.in_force_at,
+        }
+
+    def _build_bundle_controller(self) -> None:
         name = self._settings.platform.bundle_name
-        source = HttpConfigurationSource(self._platform, name)
-        return BundleWatch(
-            self._settings, self._timers, self._bundle, source, self._telemetry
+        self._held_bundle = HeldBundle()
+        self._bundle_controller = BundleController(
+            self._settings,
+            self._timers,
+            self._bundle,
+            self._members,
+            HttpConfigurationSource(self._platform, name),
+            BundleClient(self._pool),
+            self._held_bundle,
+            self._broadcast,
+            self._telemetry,
+            np.random.default_rng(self._seed),
         )
 
     def _watch_hosts(self) -> HostWatch:
         hosts = HttpHostList(self._platform)
-        return HostWatch(self._settings, self._members, hosts, self._telemetry)
+        receive = self._gossip.receive_list
+        return HostWatch(self._settings, receive, hosts, self._telemetry)
 
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._quota.set_bundle(view)
@@ -249,12 +322,14 @@
     return HttpClient(host, port, idle, whole_bytes)
 
 
-def _bundle_status(view: BundleView) -> dict:
-    return {
-        "version": view.version,
-        "digest": view.signed.digest,
-        "withdrawn_keys": len(view.withdrawn),
-    }
+def _own_member(settings: NodeSettings, incarnation: Incarnation) -> Member:
+    return Member(
+        HostId(settings.node.host),
+        ZoneName(settings.node.zone),
+        settings.listen.peer,
+        ServiceName(settings.backend.service if settings.backend else ""),
+        incarnation=incarnation,
+    )
 
 
 def _member_status(member: object) -> dict:
@@ -263,4 +338,5 @@
         "zone": member.zone,
         "service": member.service,
         "state": member.state.value,
+        "incarnation": member.incarnation,
     }
--- a/damaskramp/node/quota_service.py
+++ b/damaskramp/node/quota_service.py
@@ -192,6 +192,10 @@
         """Follow a new bundle."""
         self._limiter.set_bundle(view)
 
+    def renew(self, incarnation: Incarnation) -> None:
+        """Become a new incarnation, which owns nothing yet."""
+        self._owner.renew(incarnation)
+
     def start(self) -> None:
         """Begin to renew leases."""
         self._handle = self._timers.every(self._settings.tick_seconds, self._tick)
@@ -233,6 +237,8 @@
         }
 
     def _ready(self) -> bool:
+        if not self._ownership.active:
+            return False
         view = self._shares.view
         teams = view.contents.teams if view else ()
         return view is not None and all(self._has_owner(team.name) for team in teams)
--- /dev/null
+++ b/damaskramp/ownership/tests/test_activation.py
@@ -0,0 +1,349 @@
+"""The ownership rule under a virtual clock: never two owners at once."""
+
+import testtools
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from damaskramp.core import Section, ServiceName, VirtualTimers, ZoneName
+from damaskramp.membership import Member, MemberTable
+from damaskramp.ownership import (
+    AcknowledgedOwnership,
+    ListedOwnership,
+    Owner,
+    OwnershipSettings,
+)
+from damaskramp.ownership.tests.zone_model import (
+    HOSTS,
+    LIST_LAG_SECONDS,
+    SILENCE_SECONDS,
+    THINGS,
+    Factory,
+    Zone,
+    acknowledged,
+)
+
+TAKEOVER_SECONDS = 14.0
+EXAMPLES = 120
+SEARCH = 1000
+
+
+class ListReader(ListedOwnership):
+    """The baseline, fed with readings of the list."""
+
+    def __init__(self, timers: VirtualTimers, own: Owner) -> None:
+        self._section = Section("members", MemberTable())
+        super().__init__(timers, own.host, ZoneName("z"), self._section)
+
+    def receive_list(self, hosts):
+        members = (
+            Member(host, ZoneName("z"), peer, ServiceName("s")) for host, peer in hosts
+        )
+        self._section.replace(MemberTable(members))
+
+
+class WithoutAcks(AcknowledgedOwnership):
+    def _pending(self):
+        return []
+
+
+class WithoutPauseCheck(AcknowledgedOwnership):
+    def _observe(self):
+        self._seen = self._timers.now
+        super()._observe()
+
+
+class WithoutListing(AcknowledgedOwnership):
+    def _may_activate_alone(self):
+        return self._timers.now - self._active_since >= SILENCE_SECONDS
+
+    def _is_anchored(self):
+        return True
+
+
+class WithoutWaitAlone(AcknowledgedOwnership):
+    def _may_activate_alone(self):
+        return self._is_listed()
+
+
+class WithoutAnchor(AcknowledgedOwnership):
+    def _is_anchored(self):
+        return True
+
+
+class WithoutFence(AcknowledgedOwnership):
+    def may_release(self, thing, releaser):
+        return True
+
+
+def planted(kind: type) -> Factory:
+    return lambda timers, own: kind(OwnershipSettings(SILENCE_SECONDS), timers, own)
+
+
+class WithoutFreshness(AcknowledgedOwnership):
+    def may_release(self, thing, releaser):
+        return self.active and self.owner(thing) == releaser
+
+
+class ZoneMachine(RuleBasedStateMachine):
+    """Random histories of a zone."""
+
+    factory: Factory = staticmethod(acknowledged)
+
+    @initialize(
+        running=st.sets(st.sampled_from(HOSTS), min_size=1),
+        listed=st.sets(st.sampled_from(HOSTS)),
+        seed=st.integers(0, 2**32 - 1),
+    )
+    def begin(self, running, listed, seed):
+        self.zone = Zone(type(self).factory, seed)
+        self.zone.publish(*(listed | running))
+        for host in sorted(running):
+            self.zone.start(host)
+        self.zone.advance(16.0)
+
+    @rule(seconds=st.sampled_from((0.5, 1.0, 2.5, 4.0, 8.0, 13.0, 30.0)))
+    def advance(self, seconds):
+        self.zone.advance(seconds)
+        assert not self.zone.violations, self.zone.violations[0]
+
+    @rule(host=st.sampled_from(HOSTS))
+    def start(self, host):
+        if host not in self.zone.processes:
+            self.zone.start(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def crash(self, host):
+        if host in self.zone.processes:
+            self.zone.crash(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def stop(self, host):
+        if host in self._running() and hasattr(
+            self.zone.processes[host].ownership, "leave"
+        ):
+            self.zone.stop(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def freeze(self, host):
+        if host in self._running():
+            self.zone.freeze(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def wake(self, host):
+        if host in self.zone.processes and host not in self._running():
+            self.zone.wake(host)
+            self.zone.check()
+
+    @rule(host=st.sampled_from(HOSTS))
+    def list_host(self, host):
+        self.zone.publish(*(self.zone.listed | {host}))
+
+    @rule(host=st.sampled_from(HOSTS))
+    def drop_host(self, host):
+        if host not in self.zone.processes or not self.zone.list_cut[host]:
+            self.zone.publish(*(self.zone.listed - {host}))
+
+    @rule(host=st.sampled_from(HOSTS), lag=st.floats(0.0, LIST_LAG_SECONDS))
+    def lag_list(self, host, lag):
+        self.zone.list_lag[host] = lag
+
+    @precondition(lambda self: self.zone.settled)
+    @rule(host=st.sampled_from(HOSTS))
+    def cut_list(self, host):
+        if host in self._running():
+            self.zone.list_cut[host] = True
+
+    @rule(host=st.sampled_from(HOSTS))
+    def join_list(self, host):
+        self.zone.list_cut[host] = False
+
+    @rule(new=st.sets(st.sampled_from(HOSTS), min_size=1, max_size=2))
+    def replace_zone(self, new):
+        for host in list(self.zone.processes):
+            self.zone.crash(host)
+        self.zone.publish(*(self.zone.listed | new))
+        for host in sorted(new):
+            self.zone.start(host)
+
+    def _running(self):
+        return {h for h, p in self.zone.processes.items() if not p.frozen}
+
+
+def search(factory: Factory, examples: int) -> None:
+    machine = type("Machine", (ZoneMachine,), {"factory": staticmethod(factory)})
+    checks = settings(
+        derandomize=True,
+        deadline=None,
+        max_examples=examples,
+        phases=(Phase.generate,),
+        stateful_step_count=40,
+        suppress_health_check=list(HealthCheck),
+        database=None,
+        print_blob=False,
+    )
+    run_state_machine_as_test(machine, settings=checks)
+
+
+def newcomer_while_owner_pauses(zone: Zone) -> None:
+    """A newcomer is acknowledged by one member while another pauses briefly."""
+    zone.publish("a", "b")
+    start(zone, "a", "b")
+    zone.freeze("a")
+    zone.publish("a", "b", "c")
+    zone.start("c")
+    zone.advance(2.5)
+    zone.wake("a")
+    zone.check()
+    zone.advance(5.0)
+
+
+def owner_wakes_late(zone: Zone) -> None:
+    """An owner is frozen until others have taken over, then wakes."""
+    zone.publish("a", "b", "c")
+    start(zone, "a", "b", "c")
+    zone.freeze("a")
+    zone.advance(20.0)
+    zone.wake("a")
+    zone.check()
+    zone.advance(20.0)
+
+
+def newcomers_never_listed(zone: Zone) -> None:
+    """Two nodes of a replaced zone start while the list shows neither."""
+    zone.publish()
+    start(zone, "a", "b")
+    zone.advance(20.0)
+
+
+def list_swaps_hosts(zone: Zone) -> None:
+    """The list drops a live host and shows another in one step, unseen by the first."""
+    zone.list_lag["a"] = LIST_LAG_SECONDS
+    zone.publish("a")
+    start(zone, "a")
+    zone.publish("b")
+    zone.start("b")
+    zone.advance(30.0)
+
+
+def sponsor_dies(zone: Zone) -> None:
+    """The one listed member dies; its unlisted guest meets a listed newcomer."""
+    zone.publish("a")
+    start(zone, "a")
+    zone.start("d")
+    zone.advance(2.0)
+    zone.list_cut["d"] = True
+    zone.crash("a")
+    zone.publish("a", "b")
+    zone.start("b")
+    zone.advance(40.0)
+
+
+def release_under_way(zone: Zone) -> None:
+    """A newcomer takes over while a release of the former owner is under way."""
+    zone.publish("a", "b")
+    start(zone, "a", "b")
+    zone.publish("a", "b", "c", "d")
+    zone.start("c")
+    zone.start("d")
+    zone.advance(5.0)
+
+
+def decided_before_freeze(zone: Zone) -> None:
+    """An owner wakes and sends what it decided, to one that heard of it later."""
+    zone.publish("a", "b", "c")
+    start(zone, "a", "b", "c")
+    zone.freeze("b")
+    zone.advance(0.5)
+    zone.freeze("a")
+    zone.advance(2.0)
+    zone.wake("b")
+    zone.advance(11.0)
+    zone.wake("a")
+    zone.check()
+
+
+def start(zone: Zone, *hosts: str) -> None:
+    for host in hosts:
+        zone.start(host)
+    zone.advance(24.0)
+
+
+TRACES = (
+    (newcomer_while_owner_pauses, planted(WithoutAcks)),
+    (owner_wakes_late, planted(WithoutPauseCheck)),
+    (newcomers_never_listed, planted(WithoutListing)),
+    (list_swaps_hosts, planted(WithoutWaitAlone)),
+    (sponsor_dies, planted(WithoutAnchor)),
+    (release_under_way, planted(WithoutFence)),
+    (decided_before_freeze, planted(WithoutFreshness)),
+    (list_swaps_hosts, ListReader),
+)
+
+
+class RuleTest(testtools.TestCase):
+    def test_never_two_owners(self):
+        search(acknowledged, EXAMPLES)
+
+    def test_search_finds_fault_of_list_alone(self):
+        self.assertRaises(AssertionError, search, ListReader, SEARCH)
+
+    def test_traces_fail_with_planted_faults_only(self):
+        for trace, faulty in TRACES:
+            sound = Zone(loss=0.0)
+            trace(sound)
+            self.assertEqual([], sound.violations, trace.__name__)
+            zone = Zone(faulty, loss=0.0)
+            trace(zone)
+            self.assertNotEqual([], zone.violations, trace.__name__)
+
+
+class TakeoverTest(testtools.TestCase):
+    def test_rank_passes_to_survivors_within_bound(self):
+        zone = Zone()
+        zone.publish("a", "b", "c")
+        start(zone, "a", "b", "c")
+        zone.crash("a")
+        zone.advance(TAKEOVER_SECONDS)
+        for thing in THINGS:
+            self.assertEqual(1, len(zone.owners(thing)))
+
+    def test_replaced_zone_owns_again_once_listed(self):
+        zone = Zone()
+        zone.publish("a", "b")
+        start(zone, "a", "b")
+        zone.crash("a")
+        zone.crash("b")
+        zone.publish("a", "b", "c", "d")
+        start(zone, "c", "d")
+        zone.advance(2.0)
+        self.assertEqual({"c", "d"}, zone.active())
+
+    def test_unlisted_lone_node_owns_nothing(self):
+        zone = Zone()
+        zone.publish()
+        start(zone, "a")
+        self.assertEqual(set(), zone.active())
+
+    def test_newcomer_is_active_at_once_with_sponsor(self):
+        zone = Zone()
+        zone.publish("a", "b")
+        start(zone, "a", "b")
+        zone.start("c")
+        zone.advance(4.0)
+        self.assertEqual({"a", "b", "c"}, zone.active())
+
+    def test_leaving_node_hands_over_before_silence(self):
+        zone = Zone()
+        zone.publish("a", "b")
+        start(zone, "a", "b")
+        zone.stop("a")
+        zone.advance(4.0)
+        for thing in THINGS:
+            self.assertEqual({"b"}, zone.owners(thing))
--- a/damaskramp/quota/owner.py
+++ b/damaskramp/quota/owner.py
@@ -27,6 +27,8 @@
 DEMAND_SECONDS = 3.0
 MISSING = 1.2
 """Demand that a zone provides for, as a multiple of what it sees."""
+HANDOVER_SECONDS = 30.0
+LOOKS_A_LEASE = 8
 ASKING_SECONDS = 1.0
 UNBOUNDED_BORROWERS = 4
 """Borrowers that may ask for waiting requests as soon as they come."""
@@ -136,6 +138,7 @@
         self._teams: dict[TeamId, TeamShare] = {}
         self._looked = timers.now
         self._heard: BundleOrder = (0, "")
+        self._next_look = timers.now
         self._closed = False
         self._handovers: dict[TeamId, tuple[float, Handover]] = {}
 
@@ -156,21 +159,34 @@
     def look(self) -> None:
         """Compare what is owned with what is kept; run at every tick and ask.
 
+        Ranking all members costs time, so it is done a few times a lease; whoever
+        owned a team in between had to wait for longer before it minted.
+
         A node that stood still forgets what it owned: another may have owned it
         meanwhile.
         """
         now = self._timers.now
         if now - self._looked > self._settings.lease_seconds / 2:
             self._teams = {}
+            self._handovers = {}
+            self._next_look = now
         self._looked = now
         view = self._shares.view
-        if view is None or self._closed:
+        if view is None or self._closed or now < self._next_look:
             return
+        self._next_look = now + self._settings.lease_seconds / LOOKS_A_LEASE
         for team in view.contents.teams:
             self._look_at(TeamId(team.name), now)
         for team in self._teams.keys() - {t.name for t in view.contents.teams}:
             del self._teams[team]
 
+    def renew(self, incarnation: Incarnation) -> None:
+        """Become a new incarnation, which owns nothing yet."""
+        self._incarnation = incarnation
+        self._teams = {}
+        self._handovers = {}
+        self._next_look = self._timers.now
+
     def hand_over(self) -> list[tuple[Owner, Handover]]:
         """Stop for good; what the successors of the owned teams need to know."""
         now = self._timers.now
@@ -198,8 +214,8 @@
     def receive_handover(self, handover: Handover) -> None:
         """Keep a handover until this node owns the team.
 
-        It is good for half of a lease's validity: whoever else might have owned
-        the team since had to wait for longer before it minted.
+        It is dropped once another node is seen to own the team, or this one might
+        have missed it: the other may have minted meanwhile.
         """
         self.hear(handover.order)
         if handover.to_incarnation in (0, self._incarnation):
@@ -255,8 +271,11 @@
         return TeamAsk(team, missing, want, held)
 
     def _look_at(self, team: TeamId, now: float) -> None:
+        if self._closed:
+            return
         if not self._ownership.owns(thing_of(team)):
             self._teams.pop(team, None)
+            self._check_handover(team)
             return
         share = self._teams.get(team)
         if share is None:
@@ -268,11 +287,18 @@
         if (share.mint.rate, share.mint.capacity) != (allotment.rate, allotment.burst):
             share.mint.reconfigure(now, allotment.rate, allotment.burst)
 
+    def _check_handover(self, team: TeamId) -> None:
+        """Drop a handover where a third node owns the team."""
+        _, handover = self._handovers.get(team, (0.0, None))
+        owner = self._ownership.owner(thing_of(team))
+        if handover and owner and owner.host not in (handover.host, self._host):
+            del self._handovers[team]
+
     def _use_handover(self, team: TeamId, share: TeamShare, now: float) -> None:
         arrived, handover = self._handovers.pop(team, (0.0, None))
         if handover is None or share.minting or self.order > self._shares.order:
             return
-        if now > arrived + self._settings.lease_seconds / 2:
+        if now > arrived + HANDOVER_SECONDS:
             return
         self._shares.restrict(team, Allotment(handover.rate, handover.burst))
         share.minting = True
@@ -296,6 +322,8 @@
         return Allotment()
 
     def _answer_team(self, now: float, ask: Ask, asked: TeamAsk) -> TeamAnswer | None:
+        if self._shares.view and self._shares.view.team(asked.team):
+            self._look_at(asked.team, now)
         share = self._teams.get(asked.team)
         if share is None:
             return None
