A leaving owner goes on until its successor may own

Cause: other nodes count a leaving owner for a quarter of silence_seconds and ask it for leases meanwhile; one that had handed over at once left its zone without permits for longer than a lease. Ruled out: handing over at once and pointing borrowers to the successor, which the fence refuses until it owns the team. Change: it keeps its teams until nine tenths of that time, and hands over then. Conclusion: a planned stop of an owner refuses nothing inside the rate.

--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -154,6 +154,11 @@
     period_seconds: PositiveSeconds = 1.0
     silence_seconds: PositiveSeconds = 16.0
 
+    @property
+    def retire_seconds(self) -> float:
+        """Time for which a leaving owner still acts; the others count it longer."""
+        return 0.9 * self.silence_seconds / 4
+
     @model_validator(mode="after")
     def _check_silence(self) -> "MembershipTimes":
         if self.silence_seconds < 16 * self.period_seconds:
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -231,12 +231,14 @@
         """Finish what is running, then close; False when time ran out."""
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
-        await self._quota.hand_over()
+        self._quota.leave()
+        retires = self._timers.now + self._settings.membership.retire_seconds
         await self._gossip.leave()
         drain = GracefulDrain(
             self._settings.limits, self._timers, self._http, self._peer_service
         )
         finished = await drain.run()
+        await self._quota.hand_over(retires)
         self._quota.stop()
         self._peer.close()
         await self._peer.wait_closed()
--- a/damaskramp/node/quota_service.py
+++ b/damaskramp/node/quota_service.py
@@ -200,8 +200,14 @@
         """Begin to renew leases."""
         self._handle = self._timers.every(self._settings.tick_seconds, self._tick)
 
-    async def hand_over(self) -> None:
-        """Mint no more, and tell the successors what they need to go on."""
+    def leave(self) -> None:
+        """Own nothing more; called before the other nodes are told."""
+        self._owner.leave()
+
+    async def hand_over(self, moment: float) -> None:
+        """Mint until `moment`, then tell the successors what they need to go on."""
+        if self._owner.teams:
+            await asyncio.sleep(max(0.0, moment - self._timers.now))
         handovers = self._owner.hand_over()
         sends = [self._transport.hand_over(owner.peer, h) for owner, h in handovers]
         await asyncio.gather(*sends)
--- a/damaskramp/quota/owner.py
+++ b/damaskramp/quota/owner.py
@@ -140,6 +140,7 @@
         self._heard: BundleOrder = (0, "")
         self._next_look = timers.now
         self._closed = False
+        self._leaving = False
         self._handovers: dict[TeamId, tuple[float, Handover]] = {}
 
     @property
@@ -187,6 +188,14 @@
         self._handovers = {}
         self._next_look = self._timers.now
 
+    def leave(self) -> None:
+        """Take no further team; go on with the owned ones until the handover.
+
+        The other nodes count a leaving owner for a while, and its successor mints
+        nothing before the handover, or else waits.
+        """
+        self._leaving = True
+
     def hand_over(self) -> list[tuple[Owner, Handover]]:
         """Stop for good; what the successors of the owned teams need to know."""
         now = self._timers.now
@@ -273,6 +282,8 @@
     def _look_at(self, team: TeamId, now: float) -> None:
         if self._closed:
             return
+        if self._leaving and team in self._teams:
+            return
         if not self._ownership.owns(thing_of(team)):
             self._teams.pop(team, None)
             self._check_handover(team)
--- a/damaskramp/quota/tests/test_windows.py
+++ b/damaskramp/quota/tests/test_windows.py
@@ -128,6 +128,7 @@
         name = self.fleet.owner_of(zone, TEAM)
         node = self.fleet.nodes.get(name)
         if node is not None and node.frozen_at is None:
+            node.owner.leave()
             node.leave()
             elect = lambda: self.fleet.elect(zone, TEAM, avoid=name)  # noqa: E731
             self.fleet.later(seconds, elect)
--- a/tests/test_quota_processes.py
+++ b/tests/test_quota_processes.py
@@ -127,3 +127,32 @@
                 name, moment = entry["request_id"], entry["at"]
                 records[name] = min(moment, records.get(name, moment))
         return [Admission(self.sent[name], at) for name, at in records.items()]
+
+
+class TestPlannedStop(LoopTestCase):
+    def test_stop_of_an_owner_refuses_nothing(self):
+        """Half of the rate is offered elsewhere in the zone while its owner stops."""
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        hosts = [HostSpec(f"desk-{n}", "z1", "desk", {"service_ms": 1}) for n in "123"]
+        bundle = BUNDLE.replace('["z1", "z2", "z3"]', '["z1"]')
+        fleet = self.enterContext(Fleet(Path(directory), hosts, bundle))
+        time.sleep(2.0)
+        owner = next(h for h in fleet.hosts if fleet.status(h)["quota"]["owned"])
+        entry = next(h for h in fleet.hosts if h != owner)
+        reasons = self.run_loop(self.offer(fleet, entry, owner))
+        self.assertNotIn(b"team_over_rate", reasons)
+
+    async def offer(self, fleet, entry, owner):
+        address, _, port = fleet.http(entry).rpartition(":")
+        client = HttpClient(address, int(port))
+        headers = ((b"authorization", b"Bearer " + KEY),)
+        reasons = []
+        for number in range(300):
+            if number == 30:
+                fleet.node(owner).send(signal.SIGTERM)
+            request = HttpRequest("GET", "/desk/x", headers)
+            answer = await client.request(request, 5.0)
+            reasons.append(answer.ok.value(b"damaskramp-reason"))
+            await asyncio.sleep(1 / 30)
+        client.close()
+        return reasons
