--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -12,6 +12,8 @@
     model_validator,
 )
 
+from damaskramp.tls.settings import TlsSettings
+
 __all__ = [
     "Address",
     "BackendSettings",
@@ -198,6 +200,7 @@
     backend: BackendSettings | None = None
     platform: PlatformSettings
     trust: TrustSettings
+    tls: TlsSettings = TlsSettings()
     limits: LimitSettings = LimitSettings()
     membership: MembershipTimes = MembershipTimes()
     quota: QuotaSection = QuotaSection()
--- a/damaskramp/node/quota_service.py
+++ b/damaskramp/node/quota_service.py
@@ -202,6 +202,7 @@
 
     def leave(self) -> None:
         """Own nothing more; called before the other nodes are told."""
+        self._limiter.leave()
         self._owner.leave()
 
     async def hand_over(self, moment: float) -> None:
@@ -209,6 +210,8 @@
         if self._owner.teams:
             await asyncio.sleep(max(0.0, moment - self._timers.now))
         handovers = self._owner.hand_over()
+        for successor, handover in handovers:
+            self._limiter.follow(handover.team, successor)
         sends = [self._transport.hand_over(owner.peer, h) for owner, h in handovers]
         await asyncio.gather(*sends)
 
--- a/damaskramp/quota/leased.py
+++ b/damaskramp/quota/leased.py
@@ -157,6 +157,7 @@
         self._transport = transport
         self._generator = generator
         self._teams: dict[TeamId, _TeamState] = {}
+        self._kept_owners: dict[TeamId, Owner] | None = None
         self._number = 0
         self._counters = QuotaCounters()
 
@@ -169,6 +170,24 @@
         """Follow a new bundle."""
         self._shares.adopt(view, self._timers.now, self._timers.wall_now)
 
+    def leave(self) -> None:
+        """Keep to the owners known now, while this node finishes what it has.
+
+        A leaving node is no longer told of new owners. Those that it keeps to grant
+        nothing once they own the team no more.
+        """
+        view = self._shares.view
+        owners = {
+            team.name: self._ownership.owner(thing_of(team.name))
+            for team in (view.contents.teams if view else ())
+        }
+        self._kept_owners = {team: owner for team, owner in owners.items() if owner}
+
+    def follow(self, team: TeamId, successor: Owner) -> None:
+        """Ask the successor of this node, which has handed a team over."""
+        if self._kept_owners is not None:
+            self._kept_owners[team] = successor
+
     async def take(self, team: TeamId, deadline: float) -> Result[None, Refusal]:
         """Take one permit of a team, waiting a short time where none is here."""
         entry = self._shares.view.team(team) if self._shares.view else None
@@ -215,13 +234,24 @@
         state.next_ask = now + team.wait
         state.next_refill = now + max(team.wait, self._settings.refill_seconds)
         granter = Owner(answer.host, answer.incarnation, pending.owner.peer)
-        if not self._ownership.may_release(thing_of(team.team), granter):
+        if not self._accepts(team.team, granter):
             self._counters.late_grants += len(team.grants)
             return
         for grant in team.grants:
             state.pool.accept(now, pending.asked, grant)
         self._wake(state, now)
 
+    def _accepts(self, team: TeamId, granter: Owner) -> bool:
+        if self._kept_owners is None:
+            return self._ownership.may_release(thing_of(team), granter)
+        kept = self._kept_owners.get(team)
+        return kept is not None and kept.incarnation == granter.incarnation
+
+    def _owner_of(self, team: TeamId) -> Owner | None:
+        if self._kept_owners is None:
+            return self._ownership.owner(thing_of(team))
+        return self._kept_owners.get(team)
+
     async def _wait(
         self, team: TeamId, state: _TeamState, until: float
     ) -> Result[None, Refusal]:
@@ -312,7 +342,7 @@
         """Send one ask to each owner of the teams."""
         batches: dict[Owner, list[TeamId]] = {}
         for team in teams:
-            owner = self._ownership.owner(thing_of(team))
+            owner = self._owner_of(team)
             if owner is not None:
                 batches.setdefault(owner, []).append(team)
         for owner, batch in batches.items():
