--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -7,7 +7,7 @@
 from grpclib.server import Server as GrpcServer
 
 from damaskramp.admission import FixedAdmission
-from damaskramp.balancing import RoundRobin
+from damaskramp.balancing import ObservedBalancer
 from damaskramp.bundle import BundleView
 from damaskramp.config import NodeSettings
 from damaskramp.core import (
@@ -17,8 +17,10 @@
     Incarnation,
     LoopTimers,
     ServiceName,
+    TeamId,
     TimerService,
     ZoneName,
+    host_generator,
 )
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
 from damaskramp.membership import (
@@ -30,6 +32,7 @@
 from damaskramp.node.admin import Admin
 from damaskramp.node.bundle_controller import BundleController
 from damaskramp.node.bundle_exchange import BundleClient, BundleService, HeldBundle
+from damaskramp.node.containment import Containment
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.drain import GracefulDrain
@@ -44,9 +47,12 @@
 from damaskramp.node.peers import PeerClient, PeerPool
 from damaskramp.node.quota_service import QuotaNode
 from damaskramp.node.responses import refuse_unreadable
+from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.ownership import AcknowledgedOwnership, Owner, OwnershipSettings
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
+from damaskramp.quarantine import Quarantine, Standing
+from damaskramp.retries import Backoff, HintSpreader
 from damaskramp.tls import TlsContexts
 
 __all__ = ["Node"]
@@ -56,6 +62,7 @@
 DEFAULT_SLOTS = 64
 MICROSECONDS = 1_000_000
 ADMIN_CONNECTIONS = 64
+EXPIRE_SECONDS = 30.0
 
 
 class Node:
@@ -157,6 +164,15 @@
             self._telemetry,
         )
         self._ownership.subscribe_renewal(self._quota.renew)
+        own = HostId(settings.node.host)
+        self._quarantine = Quarantine(
+            settings.quarantine,
+            self._timers,
+            own,
+            zone,
+            self._broadcast,
+            self._telemetry.event,
+        )
         self._executor = Executor(
             settings,
             self._timers,
@@ -165,15 +181,36 @@
             self._admission,
             self._backend,
             self._contexts,
+            Containment(
+                settings.quarantine,
+                self._timers,
+                self._quarantine,
+                self._backend,
+                self._telemetry.event,
+            ),
             self._telemetry,
         )
+        self._balancer = ObservedBalancer(
+            settings.balancing, self._timers, own, zone, self._telemetry.event
+        )
+        generator = host_generator(settings.retries.seed, own)
         self._dispatcher = Dispatcher(
-            HostId(settings.node.host),
+            own,
             self._timers,
+            settings.retries,
+            Backoff(settings.retries, generator),
             self._members,
-            RoundRobin(zone),
+            self._balancer,
             self._executor,
             PeerClient(self._timers, self._pool),
+            self._quarantine,
+            self._telemetry.event,
+        )
+        self._allowances = RetryAllowances(
+            settings.retries,
+            self._timers,
+            HintSpreader(settings.retries, generator),
+            self._telemetry.event,
         )
         self._entry = Entry(
             settings,
@@ -182,6 +219,7 @@
             self._contexts,
             self._quota.limiter,
             self._dispatcher,
+            self._allowances,
             self._telemetry,
             self._objectives,
         )
@@ -231,6 +269,7 @@
         self._tls.follow(self._timers, self._telemetry.event)
         self._spawn(self._bundle_controller.run())
         self._spawn(self._watch_hosts().run())
+        self._timers.every(EXPIRE_SECONDS, self._quarantine.expire)
         self._spawn(self._gossip.run())
         self._quota.start()
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
@@ -284,6 +323,11 @@
                 "limit": load.limit,
                 "queued": load.queued,
             },
+            "quarantine": {
+                "suspects": self._quarantine.count(Standing.SUSPECT),
+                "quarantined": self._quarantine.count(Standing.QUARANTINED),
+            },
+            "ejected": sorted(self._balancer.ejected),
         }
 
     def _bundle_status(self, view: BundleView) -> dict:
@@ -317,6 +361,8 @@
 
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._quota.set_bundle(view)
+        teams = frozenset(TeamId(team.name) for team in view.contents.teams)
+        self._allowances.set_teams(teams)
         self._classes.replace(view.contents.bundle.classes)
         if self._lifecycle.value is Lifecycle.STARTING:
             self._lifecycle.replace(Lifecycle.SERVING)
