--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -27,6 +27,7 @@
     "NodeSettings",
     "PlatformSettings",
     "QuarantineSettings",
+    "QuotaSection",
     "RetrySettings",
     "Settings",
     "TrustSettings",
@@ -281,6 +282,11 @@
     period_seconds: PositiveSeconds = 1.0
     silence_seconds: PositiveSeconds = 16.0
 
+    @property
+    def retire_seconds(self) -> float:
+        """Time for which a leaving owner still acts; the others count it longer."""
+        return 0.9 * self.silence_seconds / 4
+
     @model_validator(mode="after")
     def _check_silence(self) -> "MembershipTimes":
         if self.silence_seconds < 16 * self.period_seconds:
@@ -288,6 +294,24 @@
         return self
 
 
+class QuotaSection(Settings):
+    """Leases of permits; alike on all nodes of a fleet.
+
+    Attributes
+    ----------
+    lease_seconds : float
+        Validity of a lease, and the time for which a new owner mints nothing.
+    wait_seconds : float
+        Longest time that a request waits for a permit.
+    lending : bool
+        Whether zones lend to each other.
+    """
+
+    lease_seconds: PositiveSeconds = 2.0
+    wait_seconds: PositiveSeconds = 0.5
+    lending: bool = True
+
+
 class LogSettings(Settings):
     """Logging."""
 
@@ -309,4 +333,5 @@
     quarantine: QuarantineSettings = QuarantineSettings()
     dedup: DedupSettings = DedupSettings()
     membership: MembershipTimes = MembershipTimes()
+    quota: QuotaSection = QuotaSection()
     log: LogSettings = LogSettings()
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -50,6 +50,7 @@
 from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
+from damaskramp.node.quota_service import QuotaNode
 from damaskramp.node.releases import ReleaseGuard
 from damaskramp.node.responses import refuse_unreadable
 from damaskramp.node.retrying import RetryAllowances
@@ -57,7 +58,6 @@
 from damaskramp.ownership import AcknowledgedOwnership, Owner, OwnershipSettings
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 from damaskramp.quarantine import Quarantine, Standing
-from damaskramp.quota import StaticSplit
 from damaskramp.retries import Backoff, HintSpreader
 from damaskramp.tls import TlsContexts
 
@@ -99,7 +99,6 @@
         self._build_call_path()
         self._build_servers()
         self._bundle.subscribe(self._follow_bundle)
-        self._members.subscribe(self._follow_members)
 
     @property
     def settings(self) -> NodeSettings:
@@ -164,7 +163,16 @@
         self._contexts = ContextTable()
         self._build_dedup(zone)
         self._admission = FixedAdmission(DEFAULT_SLOTS)
-        self._limiter = StaticSplit(self._timers, zone)
+        self._quota = QuotaNode(
+            settings,
+            self._timers,
+            self._incarnation,
+            self._members,
+            self._ownership,
+            self._pool,
+            self._telemetry,
+        )
+        self._ownership.subscribe_renewal(self._quota.renew)
         own = HostId(settings.node.host)
         self._quarantine = Quarantine(
             settings.quarantine,
@@ -220,7 +228,7 @@
             self._timers,
             self._bundle,
             self._contexts,
-            self._limiter,
+            self._quota.limiter,
             self._dispatcher,
             self._allowances,
             self._telemetry,
@@ -288,6 +296,7 @@
             gossip,
             BundleService(self._held_bundle),
             HomeService(self._timers, self._home, self._peer_service),
+            self._quota.service,
         ]
         self._peer = GrpcServer(services)
 
@@ -313,6 +322,7 @@
         self._spawn(self._watch_hosts().run())
         self._timers.every(EXPIRE_SECONDS, self._quarantine.expire)
         self._spawn(self._gossip.run())
+        self._quota.start()
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
         LOGGER.info("started", extra=fields)
 
@@ -320,12 +330,17 @@
         """Finish what is running, then close; False when time ran out."""
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
+        self._quota.leave()
+        retires = self._timers.now + self._settings.membership.retire_seconds
         await self._gossip.leave()
+        handed = asyncio.ensure_future(self._quota.hand_over(retires))
         drain = GracefulDrain(
             self._settings.limits, self._timers, self._http, self._peer_service
         )
         finished = await drain.run()
         await self._home.drain(self._settings.limits.drain_seconds)
+        await handed
+        self._quota.stop()
         self._peer.close()
         await self._peer.wait_closed()
         await self._admin.drain(0.0)
@@ -353,6 +368,7 @@
             "periods": self._gossip.protocol.periods,
             "state": self._lifecycle.value.value,
             "bundle": None if view is None else self._bundle_status(view),
+            "quota": self._quota.status(),
             "members": [_member_status(member) for member in self._members.value],
             "backend": {
                 "service": getattr(self._settings.backend, "service", None),
@@ -403,7 +419,7 @@
         return HostWatch(self._settings, receive, hosts, self._telemetry)
 
     def _follow_bundle(self, view: BundleView | None) -> None:
-        self._limiter.set_bundle(view)
+        self._quota.set_bundle(view)
         teams = frozenset(TeamId(team.name) for team in view.contents.teams)
         self._allowances.set_teams(teams)
         self._classes.replace(view.contents.bundle.classes)
@@ -411,10 +427,6 @@
         if self._lifecycle.value is Lifecycle.STARTING:
             self._lifecycle.replace(Lifecycle.SERVING)
 
-    def _follow_members(self, members: MemberTable) -> None:
-        zone = ZoneName(self._settings.node.zone)
-        self._limiter.set_hosts(frozenset(m.host for m in members.in_zone(zone)))
-
     def _spawn(self, coroutine: object) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -316,7 +316,9 @@
         except (OSError, ValueError):
             return False
         listed = sum(state != "gone" for state in self._listed.values())
-        return status["state"] == "serving" and len(status["members"]) >= listed
+        if status["state"] != "serving" or not status["quota"]["ready"]:
+            return False
+        return len(status["members"]) >= listed
 
     def _node_settings(self, spec: HostSpec) -> str:
         return f"""\
@@ -340,6 +342,7 @@
 [trust]
 public_keys = ["{self._key.public_hex}"]
 
+{_membership(spec.settings)}
 {spec.settings}
 """
 
@@ -362,6 +365,13 @@
                 time.sleep(0.05)
 
 
+def _membership(settings: str) -> str:
+    """Short times, so that small fleets have owners soon after their start."""
+    if "[membership]" in settings:
+        return ""
+    return "[membership]\nperiod_seconds = 0.2\nsilence_seconds = 3.2"
+
+
 def _get(url: str) -> bytes:
     return _send("GET", url, None)
 
