Adaptive admission with shed levels and early refusal

Cause: admission was a fixed limit without queue, priorities or fair shares. Ruled out: gradient limiters, which take a slower backend server for a queue; one shed level for all teams, which gives a team at five times its rate five shares. Change: probing limiter, short fair queue, shed levels by weighted max-min shares, levels carried up the chain and used at the entry; section [admission].

--- a/damaskramp/admission/__init__.py
+++ b/damaskramp/admission/__init__.py
@@ -1,5 +1,6 @@
 """Which calls a backend server takes on, and which it sheds."""
 
+from damaskramp.admission.adaptive import AdaptiveAdmission, AdaptivePermit
 from damaskramp.admission.admission import (
     AdmissionController,
     Demand,
@@ -8,14 +9,40 @@
     Permit,
     Refusal,
     Sample,
+    UnlimitedAdmission,
 )
+from damaskramp.admission.early import EarlyRefusal, Path
+from damaskramp.admission.events import AdmissionEvent, AdmissionEvents
+from damaskramp.admission.levels import ShedLevels, fair_shares
+from damaskramp.admission.limiter import (
+    ConcurrencyLimiter,
+    FixedLimiter,
+    ProbingLimiter,
+)
+from damaskramp.admission.queue import Waiter, WaitQueue
+from damaskramp.admission.rank import rank_of
 
 __all__ = [
+    "AdaptiveAdmission",
+    "AdaptivePermit",
     "AdmissionController",
+    "AdmissionEvent",
+    "AdmissionEvents",
+    "ConcurrencyLimiter",
     "Demand",
+    "EarlyRefusal",
     "FixedAdmission",
+    "FixedLimiter",
     "Load",
+    "Path",
     "Permit",
+    "ProbingLimiter",
     "Refusal",
     "Sample",
+    "ShedLevels",
+    "UnlimitedAdmission",
+    "WaitQueue",
+    "Waiter",
+    "fair_shares",
+    "rank_of",
 ]
--- /dev/null
+++ b/damaskramp/admission/adaptive.py
@@ -0,0 +1,349 @@
+"""Adaptive admission: limit, short queue, shed levels and fair shares."""
+
+import asyncio
+import sys
+from collections.abc import Mapping
+
+import numpy as np
+from expression import Error, Ok, Result
+
+from damaskramp.admission.admission import (
+    AdmissionController,
+    Demand,
+    Load,
+    Permit,
+    Refusal,
+    Sample,
+)
+from damaskramp.admission.estimate import TimeEstimate
+from damaskramp.admission.events import AdmissionEvent, AdmissionEvents
+from damaskramp.admission.levels import ShedLevels
+from damaskramp.admission.limiter import ConcurrencyLimiter
+from damaskramp.admission.queue import Verdict, Waiter, WaitQueue
+from damaskramp.admission.rank import rank_of
+from damaskramp.config import AdmissionSettings
+from damaskramp.core import Reason, TeamId, TimerService
+
+__all__ = ["AdaptiveAdmission", "AdaptivePermit"]
+
+DEFAULT_CLASSES = 3
+INTERVAL_SERVICE_TIMES = 1.0
+TARGET_SERVICE_TIMES = 0.25
+MIN_GAIN = 0.7
+MAX_GAIN = 1.3
+GAIN_STEP = 0.02
+LONGEST_RETRY_AFTER_SECONDS = 10.0
+
+
+class AdaptiveAdmission(AdmissionController):
+    """Admission to one backend server.
+
+    A call waits at most for the queue interval, and only for the shorter target
+    while the queue stands. A call whose own backend server waits for another
+    service is parked: it keeps its slot but does not count against the adaptive
+    limit, so a slow service further down neither lowers the limit nor uses it up.
+
+    Parameters
+    ----------
+    settings : AdmissionSettings
+        Settings.
+    timers : TimerService
+        Time.
+    limiter : ConcurrencyLimiter
+        Limit on the calls at once.
+    slots : int
+        Calls that the backend server can hold at once.
+    random_state : numpy.random.Generator
+        Spreads the retry-after hints.
+    events : AdmissionEvents, optional
+        Told of what happens.
+    """
+
+    def __init__(
+        self,
+        settings: AdmissionSettings,
+        timers: TimerService,
+        limiter: ConcurrencyLimiter,
+        slots: int,
+        random_state: np.random.Generator,
+        events: AdmissionEvents | None = None,
+    ) -> None:
+        self._settings = settings
+        self._timers = timers
+        self._limiter = limiter
+        self._slots = slots
+        self._random = random_state
+        self._events = events or AdmissionEvents()
+        self._active = 0
+        self._parked = 0
+        self._queue = WaitQueue({})
+        self._levels = ShedLevels({}, DEFAULT_CLASSES)
+        self._own = TimeEstimate()
+        self._whole = TimeEstimate()
+        self._queue_was_empty = timers.now
+        self._updated = timers.now
+        self._saturated = False
+        self._gain = 1.0
+
+    @property
+    def load(self) -> Load:
+        """Current state, with the level of teams that ask for less than a share."""
+        self._refresh()
+        return self._load(self._levels.common)
+
+    @property
+    def levels(self) -> ShedLevels:
+        """Shed levels of the teams."""
+        return self._levels
+
+    def load_for(self, team: TeamId) -> Load:
+        """Current state, with the shed level that holds for `team`."""
+        self._refresh()
+        return self._load(self._levels.level(team))
+
+    def configure(
+        self, slots: int, weights: Mapping[TeamId, float], classes: int
+    ) -> None:
+        """Follow a bundle."""
+        if slots != self._slots:
+            self._slots = slots
+            self._limiter.set_bound(slots)
+        self._queue.set_weights(weights)
+        self._levels.configure(weights, classes)
+        self._pump()
+
+    async def admit(self, demand: Demand) -> Result[Permit, Refusal]:
+        """Wait for a permit, or refuse."""
+        decided = asyncio.get_running_loop().create_future()
+
+        def decide(refusal: Refusal | None) -> None:
+            if decided.cancelled():
+                self._give_back(refusal)
+            else:
+                decided.set_result(refusal)
+
+        waiter = self.offer(demand, decide)
+        try:
+            refusal = await decided
+        except asyncio.CancelledError:
+            if not decided.cancelled():
+                self._give_back(decided.result())
+            self.withdraw(waiter)
+            raise
+        if refusal is not None:
+            return Error(refusal)
+        return Ok(self.permit())
+
+    def offer(self, demand: Demand, verdict: Verdict) -> Waiter | None:
+        """Decide now or later; `verdict` is called exactly once unless withdrawn.
+
+        Returns
+        -------
+        Waiter or None
+            The waiting call, None where it was decided at once.
+        """
+        self._refresh()
+        now = self._timers.now
+        rank = rank_of(demand.priority, demand.team, demand.request_id)
+        self._levels.arrived(demand.priority, demand.team, rank)
+        if self._is_late(demand, now):
+            self._refuse(verdict, Reason.DEADLINE_EXCEEDED, AdmissionEvent.LATE)
+            return None
+        if self._is_free() and not self._queue:
+            self._queue.charge(demand)
+            self._start(verdict)
+            return None
+        self._saturated = True
+        if rank > self._levels.level(demand.team):
+            self._refuse(verdict, Reason.OVERLOADED, AdmissionEvent.SHED)
+            return None
+        waiter = Waiter(demand, rank, now, verdict)
+        self._enqueue(waiter, now)
+        return waiter
+
+    def withdraw(self, waiter: Waiter | None) -> None:
+        """Let a cancelled call leave the queue; its verdict is not called."""
+        if waiter is not None and waiter.waiting:
+            waiter.timer.cancel()
+            self._queue.remove(waiter)
+            self._events.count(AdmissionEvent.WITHDRAWN)
+
+    def permit(self) -> "AdaptivePermit":
+        """Permit of a call that was told to start."""
+        saturated = self._active >= self._limiter.limit
+        return AdaptivePermit(self, self._limiter.window if saturated else None)
+
+    def park(self) -> None:
+        """Note that a running call waits for another service."""
+        self._active -= 1
+        self._parked += 1
+        self._pump()
+
+    def resume(self) -> None:
+        """Note that a call no longer waits for another service.
+
+        It does not queue again: that could deadlock with calls that wait for it.
+        """
+        self._parked -= 1
+        self._active += 1
+
+    def leave(self, sample: Sample | None, window: int | None) -> None:
+        """Count one call as ended, and learn from it."""
+        self._active -= 1
+        if sample is not None:
+            self._learn(sample, window)
+        self._pump()
+
+    def _learn(self, sample: Sample, window: int | None) -> None:
+        now = self._timers.now
+        if not sample.overloaded:
+            self._own.add(sample.own_seconds, now)
+            self._whole.add(sample.seconds, now)
+        if window is not None:
+            before = self._limiter.limit
+            self._limiter.observe(sample.own_seconds, sample.overloaded, window)
+            if self._limiter.limit < before:
+                self._events.count(AdmissionEvent.LIMIT_LOWERED)
+
+    def _give_back(self, refusal: Refusal | None) -> None:
+        """Return a permit that came together with the caller's cancellation."""
+        if refusal is None:
+            self.leave(None, None)
+
+    def _is_late(self, demand: Demand, now: float) -> bool:
+        return demand.deadline - now <= self._whole.least(now)
+
+    def _is_free(self) -> bool:
+        if self._active + self._parked >= self._slots:
+            return False
+        return self._active < self._limiter.limit
+
+    def _start(self, verdict: Verdict) -> None:
+        self._active += 1
+        if not self._is_free():
+            self._saturated = True
+        verdict(None)
+
+    def _enqueue(self, waiter: Waiter, now: float) -> None:
+        if not self._queue:
+            self._queue_was_empty = now
+        self._queue.push(waiter)
+        if len(self._queue) > self._queue_bound():
+            last = self._queue.last()
+            self._evict(last, Reason.OVERLOADED, AdmissionEvent.EVICTED)
+            if last is waiter:
+                return
+        wait = min(self._longest_wait(now), waiter.demand.deadline - now)
+        waiter.timer = self._timers.after(wait, lambda: self._expire(waiter))
+
+    def _queue_bound(self) -> int:
+        return max(1, int(self._limiter.limit * self._settings.queue_factor))
+
+    def _longest_wait(self, now: float) -> float:
+        """Bound on the wait, short while the queue stands (controlled delay)."""
+        settings = self._settings
+        mean = self._own.mean or 0.0
+        interval = settings.queue_interval_seconds
+        interval = max(interval, INTERVAL_SERVICE_TIMES * mean)
+        if now - self._queue_was_empty < interval:
+            return interval
+        return max(settings.queue_target_seconds, TARGET_SERVICE_TIMES * mean)
+
+    def _expire(self, waiter: Waiter) -> None:
+        self._evict(waiter, Reason.OVERLOADED, AdmissionEvent.WAITED_TOO_LONG)
+
+    def _evict(self, waiter: Waiter, reason: Reason, event: AdmissionEvent) -> None:
+        waiter.timer.cancel()
+        self._queue.remove(waiter)
+        self._refuse(waiter.verdict, reason, event)
+
+    def _refuse(self, verdict: Verdict, reason: Reason, event: AdmissionEvent) -> None:
+        self._events.count(event)
+        verdict(Refusal(reason, self._retry_after()))
+
+    def _pump(self) -> None:
+        """Start waiting calls while there is room."""
+        while self._queue and self._is_free():
+            waiter = self._queue.pop()
+            waiter.timer.cancel()
+            now = self._timers.now
+            if self._is_late(waiter.demand, now):
+                event = AdmissionEvent.LATE
+                self._refuse(waiter.verdict, Reason.DEADLINE_EXCEEDED, event)
+                continue
+            self._start(waiter.verdict)
+
+    def _capacity(self) -> float:
+        """Calls a second that the backend server can serve."""
+        capacity = float(sys.maxsize)
+        if self._own.mean:
+            capacity = min(capacity, self._limiter.limit / self._own.mean)
+        if self._whole.mean:
+            capacity = min(capacity, self._slots / self._whole.mean)
+        return capacity
+
+    def _refresh(self) -> None:
+        elapsed = self._timers.now - self._updated
+        if elapsed < self._settings.level_seconds:
+            return
+        self._updated = self._timers.now
+        self._adjust_gain()
+        self._levels.update(elapsed, self._capacity() * self._gain)
+
+    def _adjust_gain(self) -> None:
+        """Keep a short queue: correct the capacity by what it leads to."""
+        if len(self._queue) > self._queue_bound() / 2:
+            self._gain = max(MIN_GAIN, self._gain - GAIN_STEP)
+        elif not self._saturated:
+            self._gain = min(MAX_GAIN, self._gain + GAIN_STEP)
+        self._saturated = not self._is_free()
+
+    def _retry_after(self) -> float:
+        """Hint in proportion to the overload, spread so that none come together."""
+        capacity = max(self._capacity(), 1e-9)
+        excess = max(1.0, self._levels.demand() / capacity)
+        middle = self._settings.retry_after_seconds * excess / 2
+        spread = self._random.uniform(0.5, 1.5)
+        return float(min(LONGEST_RETRY_AFTER_SECONDS, middle) * spread)
+
+    def _load(self, level: float) -> Load:
+        running = self._active + self._parked
+        limit = min(self._slots, self._limiter.limit + self._parked)
+        return Load(running, limit, len(self._queue), level)
+
+
+class AdaptivePermit(Permit):
+    """Permit of `AdaptiveAdmission`.
+
+    Parameters
+    ----------
+    owner : AdaptiveAdmission
+        Where it goes back to.
+    window : int or None
+        Window of the limiter in which it was given at saturation.
+    """
+
+    def __init__(self, owner: AdaptiveAdmission, window: int | None) -> None:
+        self._owner = owner
+        self._window = window
+        self._nested = 0
+        self._released = False
+
+    def park(self) -> None:
+        """Note that the call waits for a call to another service."""
+        self._nested += 1
+        if self._nested == 1 and not self._released:
+            self._owner.park()
+
+    def resume(self) -> None:
+        """Note that the call no longer waits for another service."""
+        self._nested -= 1
+        if self._nested == 0 and not self._released:
+            self._owner.resume()
+
+    def release(self, sample: Sample | None) -> None:
+        """Give the right back."""
+        if self._nested:
+            self._owner.resume()
+        self._released = True
+        self._owner.leave(sample, self._window)
--- a/damaskramp/admission/admission.py
+++ b/damaskramp/admission/admission.py
@@ -1,6 +1,8 @@
 """Interface of admission at one backend server, and the fixed-limit baseline."""
 
+import sys
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
@@ -15,6 +17,7 @@
     "Permit",
     "Refusal",
     "Sample",
+    "UnlimitedAdmission",
 ]
 
 RETRY_AFTER_SECONDS = 0.2
@@ -50,11 +53,19 @@
     seconds : float
         Time from release to answer.
     overloaded : bool
-        Whether the backend server shed it or let it time out.
+        Whether the backend server itself shed it or let it time out.
+    nested_seconds : float
+        Part of `seconds` in which it waited for calls to other services.
     """
 
     seconds: float
     overloaded: bool
+    nested_seconds: float = 0.0
+
+    @property
+    def own_seconds(self) -> float:
+        """Seconds in which the backend server itself had the call."""
+        return max(0.0, self.seconds - self.nested_seconds)
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +107,12 @@
     def release(self, sample: Sample | None) -> None:
         """Give the right back; None where nothing was learnt."""
 
+    def park(self) -> None:  # noqa: B027
+        """Note that the call waits for a call to another service."""
+
+    def resume(self) -> None:  # noqa: B027
+        """Note that the call no longer waits for another service."""
+
 
 class AdmissionController(ABC):
     """Decides which calls run on one backend server."""
@@ -109,6 +126,16 @@
     async def admit(self, demand: Demand) -> Result[Permit, Refusal]:
         """Wait for a permit, or refuse."""
 
+    def load_for(self, team: TeamId) -> Load:
+        """Current state, with the shed level that holds for `team`."""
+        del team
+        return self.load
+
+    def configure(  # noqa: B027
+        self, slots: int, weights: Mapping[TeamId, float], classes: int
+    ) -> None:
+        """Follow a bundle: bound of the limit, shares, number of classes."""
+
 
 class FixedAdmission(AdmissionController):
     """Baseline: a fixed number of calls at once, no queue, no priorities.
@@ -146,3 +173,15 @@
 
     def release(self, sample: Sample | None) -> None:
         self._owner.leave()
+
+
+class UnlimitedAdmission(FixedAdmission):
+    """Baseline: every call is admitted at once."""
+
+    def __init__(self) -> None:
+        super().__init__(sys.maxsize)
+
+    @property
+    def load(self) -> Load:
+        """Current state; a limit of 0 stands for none."""
+        return Load(self._in_flight, 0)
--- /dev/null
+++ b/damaskramp/admission/estimate.py
@@ -0,0 +1,49 @@
+"""Recent time of calls, smoothed."""
+
+import math
+
+__all__ = ["TimeEstimate"]
+
+SMOOTHING = 0.1
+STALE_HALF_LIFE_SECONDS = 1.0
+
+
+class TimeEstimate:
+    """Smoothed mean and deviation that fade while nothing is observed.
+
+    A stale estimate must not keep out the calls that would correct it, so its
+    lower bound falls by half for each second without an observation.
+
+    References
+    ----------
+    RFC 6298, Computing TCP's Retransmission Timer, section 2.
+    """
+
+    def __init__(self) -> None:
+        self._mean: float | None = None
+        self._deviation = 0.0
+        self._updated = 0.0
+
+    @property
+    def mean(self) -> float | None:
+        """Mean in seconds, None before the first observation."""
+        return self._mean
+
+    def add(self, seconds: float, now: float) -> None:
+        """Observe one call."""
+        self._updated = now
+        if self._mean is None:
+            self._mean = seconds
+            self._deviation = seconds / 2
+            return
+        error = seconds - self._mean
+        self._mean += SMOOTHING * error
+        self._deviation += SMOOTHING * (abs(error) - self._deviation)
+
+    def least(self, now: float) -> float:
+        """Seconds that a call now takes at the least, as far as is known."""
+        if self._mean is None:
+            return 0.0
+        silence = max(0.0, now - self._updated)
+        faded = math.exp2(-silence / STALE_HALF_LIFE_SECONDS)
+        return max(0.0, self._mean - 2 * self._deviation) * faded
--- /dev/null
+++ b/damaskramp/admission/events.py
@@ -0,0 +1,24 @@
+"""What admission reports to its counters."""
+
+from enum import Enum
+
+__all__ = ["AdmissionEvent", "AdmissionEvents"]
+
+
+class AdmissionEvent(Enum):
+    """Events, as they are named in the counters."""
+
+    SHED = "admission_shed"
+    EVICTED = "admission_evicted"
+    WAITED_TOO_LONG = "admission_waited_too_long"
+    LATE = "admission_late"
+    WITHDRAWN = "admission_withdrawn"
+    LIMIT_LOWERED = "admission_limit_lowered"
+    REFUSED_EARLY = "admission_refused_early"
+
+
+class AdmissionEvents:
+    """Receiver of events; this one drops them."""
+
+    def count(self, event: AdmissionEvent) -> None:
+        """Count one event."""
--- /dev/null
+++ b/damaskramp/admission/queue.py
@@ -0,0 +1,140 @@
+"""Calls that wait for a permit, in the order in which they should get it.
+
+The order is: more important class, then work already paid for upstream, then the
+team that has had least of its share, then the lower rank inside the team.
+
+References
+----------
+Goyal, Vin, Cheng, "Start-time Fair Queueing", SIGCOMM 1996.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from sortedcontainers import SortedDict, SortedKeyList
+
+from damaskramp.admission.admission import Demand, Refusal
+from damaskramp.core import TeamId, TimerHandle
+
+__all__ = ["Verdict", "WaitQueue", "Waiter"]
+
+Verdict = Callable[[Refusal | None], None]
+"""Told once: None for a permit."""
+
+Tier = tuple[int, bool]
+"""Class and whether the work is new: lower goes first."""
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """A call that waits.
+
+    Attributes
+    ----------
+    since : float
+        Monotonic time in seconds from which it has waited.
+    timer : TimerHandle
+        Ends the wait.
+    waiting : bool
+        Whether it stands in a queue.
+    """
+
+    demand: Demand
+    rank: float
+    since: float
+    verdict: Verdict
+    timer: TimerHandle = field(default_factory=TimerHandle)
+    waiting: bool = False
+
+    @property
+    def tier(self) -> Tier:
+        """Class and whether the work is new."""
+        return self.demand.priority, self.demand.depth == 0
+
+
+class WaitQueue:
+    """Priority queue with fair sharing between teams inside a class.
+
+    Parameters
+    ----------
+    weights : mapping of TeamId to float
+        Shares; 1 for teams that it lacks.
+    """
+
+    def __init__(self, weights: Mapping[TeamId, float]) -> None:
+        self._weights = weights
+        self._tiers: SortedDict = SortedDict()
+        self._length = 0
+        self._virtual: dict[int, float] = {}
+        self._finish: dict[tuple[int, TeamId], float] = {}
+
+    def __len__(self) -> int:
+        return self._length
+
+    def set_weights(self, weights: Mapping[TeamId, float]) -> None:
+        """Follow new shares."""
+        self._weights = weights
+        self._finish.clear()
+        self._virtual.clear()
+
+    def push(self, waiter: Waiter) -> None:
+        """Let a call wait."""
+        teams = self._tiers.setdefault(waiter.tier, {})
+        team = waiter.demand.team
+        if team not in teams:
+            teams[team] = SortedKeyList(key=_rank)
+        teams[team].add(waiter)
+        waiter.waiting = True
+        self._length += 1
+
+    def remove(self, waiter: Waiter) -> None:
+        """Let a call no longer wait."""
+        waiter.waiting = False
+        teams = self._tiers[waiter.tier]
+        waiting = teams[waiter.demand.team]
+        waiting.remove(waiter)
+        if not waiting:
+            del teams[waiter.demand.team]
+        if not teams:
+            del self._tiers[waiter.tier]
+        self._length -= 1
+
+    def pop(self) -> Waiter:
+        """Take out the call that should run next."""
+        tier, teams = self._tiers.peekitem(0)
+        priority = tier[0]
+        team = min(teams, key=lambda name: (self._start(priority, name), name))
+        waiter = teams[team][0]
+        self.remove(waiter)
+        self.charge(waiter.demand)
+        return waiter
+
+    def last(self) -> Waiter:
+        """Call that should give way first."""
+        tier, teams = self._tiers.peekitem(-1)
+        priority = tier[0]
+        team = max(teams, key=lambda name: (self._claim(priority, name, teams), name))
+        return teams[team][-1]
+
+    def charge(self, demand: Demand) -> None:
+        """Count a call against its team's share."""
+        key = demand.priority, demand.team
+        start = self._start(*key)
+        self._virtual[demand.priority] = start
+        self._finish[key] = start + 1.0 / self._weight(demand.team)
+
+    def _start(self, priority: int, team: TeamId) -> float:
+        virtual = self._virtual.get(priority, 0.0)
+        return max(virtual, self._finish.get((priority, team), 0.0))
+
+    def _claim(self, priority: int, team: TeamId, teams: dict) -> float:
+        """Virtual time at which the last waiting call of a team would end."""
+        waiting = len(teams[team]) / self._weight(team)
+        return self._start(priority, team) + waiting
+
+    def _weight(self, team: TeamId) -> float:
+        return self._weights.get(team, 1.0)
+
+
+def _rank(waiter: Waiter) -> float:
+    return waiter.rank
--- a/damaskramp/config/__init__.py
+++ b/damaskramp/config/__init__.py
@@ -2,6 +2,7 @@
 
 from damaskramp.config.settings import (
     Address,
+    AdmissionSettings,
     BackendSettings,
     LimitSettings,
     ListenSettings,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "Address",
+    "AdmissionSettings",
     "BackendSettings",
     "LimitSettings",
     "ListenSettings",
--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "Address",
+    "AdmissionSettings",
     "BackendSettings",
     "LimitSettings",
     "ListenSettings",
@@ -114,6 +115,43 @@
     depth: Annotated[int, Field(gt=0, le=64)] = 32
 
 
+class AdmissionSettings(Settings):
+    """How calls are admitted to the backend server and refused at the entry.
+
+    Attributes
+    ----------
+    mode : str
+        ``adaptive``; ``fixed`` for a fixed limit without a queue; ``none`` for no
+        limit. Only ``adaptive`` sheds by priority and refuses early.
+    fixed_limit : int
+        Calls at once in the mode ``fixed``.
+    minimum_limit : int
+        The adaptive limit never falls below this.
+    queue_factor : float
+        Calls that may wait for each call that may run.
+    queue_interval_seconds : float
+        Longest wait while the queue has been empty lately.
+    queue_target_seconds : float
+        Longest wait while the queue stands.
+    level_seconds : float
+        Period in which shed levels are worked out anew.
+    level_age_seconds : float
+        Age from which a level heard of begins to lose force at the entry.
+    retry_after_seconds : float
+        Middle of the spread of retry-after hints at twice the capacity.
+    """
+
+    mode: Literal["adaptive", "fixed", "none"] = "adaptive"
+    fixed_limit: Annotated[int, Field(gt=0)] = 64
+    minimum_limit: Annotated[int, Field(gt=0)] = 2
+    queue_factor: Annotated[float, Field(gt=0, strict=False)] = 1.0
+    queue_interval_seconds: PositiveSeconds = 0.1
+    queue_target_seconds: PositiveSeconds = 0.02
+    level_seconds: PositiveSeconds = 0.1
+    level_age_seconds: PositiveSeconds = 1.0
+    retry_after_seconds: PositiveSeconds = 0.5
+
+
 class LogSettings(Settings):
     """Logging."""
 
@@ -129,4 +167,5 @@
     platform: PlatformSettings
     trust: TrustSettings
     limits: LimitSettings = LimitSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     log: LogSettings = LogSettings()
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -3,9 +3,10 @@
 import asyncio
 import logging
 
+import numpy as np
 from grpclib.server import Server as GrpcServer
 
-from damaskramp.admission import FixedAdmission
+from damaskramp.admission import EarlyRefusal
 from damaskramp.balancing import RoundRobin
 from damaskramp.bundle import BundleView
 from damaskramp.config import NodeSettings
@@ -20,12 +21,14 @@
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
 from damaskramp.membership import MemberTable
 from damaskramp.node.admin import Admin
+from damaskramp.node.admitting import build_admission, configure_admission
 from damaskramp.node.bundle_watch import BundleWatch
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
 from damaskramp.node.host_watch import HostWatch
+from damaskramp.node.levels import CountedEvents, HeardExecutor, HeardPeers
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
@@ -37,7 +40,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-DEFAULT_SLOTS = 64
 MICROSECONDS = 1_000_000
 ADMIN_CONNECTIONS = 64
 
@@ -103,8 +105,16 @@
     def _build_call_path(self) -> None:
         settings = self._settings
         zone = ZoneName(settings.node.zone)
-        self._contexts = ContextTable()
-        self._admission = FixedAdmission(DEFAULT_SLOTS)
+        self._contexts = ContextTable(self._timers)
+        seeds = np.random.SeedSequence().spawn(2)
+        events = CountedEvents(self._telemetry)
+        self._admission = build_admission(settings, self._timers, seeds[0], events)
+        self._early = EarlyRefusal(
+            settings.admission,
+            self._timers,
+            np.random.default_rng(seeds[1]),
+            events,
+        )
         self._limiter = StaticSplit(self._timers, zone)
         self._executor = Executor(
             settings,
@@ -121,8 +131,8 @@
             self._timers,
             self._members,
             RoundRobin(zone),
-            self._executor,
-            PeerClient(self._timers, self._pool),
+            HeardExecutor(HostId(settings.node.host), self._executor, self._early),
+            HeardPeers(PeerClient(self._timers, self._pool), self._early),
         )
         self._entry = Entry(
             settings,
@@ -131,6 +141,7 @@
             self._contexts,
             self._limiter,
             self._dispatcher,
+            self._early,
             self._telemetry,
         )
 
@@ -217,6 +228,8 @@
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._limiter.set_bundle(view)
         self._classes.replace(view.contents.bundle.classes)
+        configure_admission(self._settings, view, self._admission)
+        self._early.configure(len(view.contents.bundle.classes))
         if self._lifecycle.value is Lifecycle.STARTING:
             self._lifecycle.replace(Lifecycle.SERVING)
 
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -5,10 +5,12 @@
 
 from expression import Error, Ok, Result
 
+from damaskramp.admission import EarlyRefusal, rank_of
 from damaskramp.bundle import BundleView, Route
 from damaskramp.config import NodeSettings
 from damaskramp.core import (
     HostId,
+    Outcome,
     Reason,
     RequestId,
     Section,
@@ -19,7 +21,7 @@
 from damaskramp.http import HttpRequest, HttpResponse, split_target
 from damaskramp.node.callers import Caller, identify
 from damaskramp.node.calls import Call, CallContext, Reply
-from damaskramp.node.contexts import ContextTable
+from damaskramp.node.contexts import ContextTable, RunningContext
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.fields import (
     IDEMPOTENCY_KEY,
@@ -27,6 +29,7 @@
     end_to_end,
     strip_private,
 )
+from damaskramp.node.levels import path_of
 from damaskramp.node.responses import to_http
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.quota import RateLimiter
@@ -64,6 +67,8 @@
         Rates of the teams.
     dispatcher : Dispatcher
         Way to the backend servers.
+    early : EarlyRefusal
+        Levels at which the backend servers shed.
     telemetry : Telemetry
         Counters.
     """
@@ -76,6 +81,7 @@
         contexts: ContextTable,
         limiter: RateLimiter,
         dispatcher: Dispatcher,
+        early: EarlyRefusal,
         telemetry: Telemetry,
     ) -> None:
         self._settings = settings
@@ -84,6 +90,7 @@
         self._contexts = contexts
         self._limiter = limiter
         self._dispatcher = dispatcher
+        self._early = early
         self._telemetry = telemetry
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -170,16 +177,39 @@
     async def _run(self, arrival: _Arrival, call: Call) -> Reply:
         parent = arrival.caller.parent
         if parent is not None:
-            lent = parent.lend_retries()
-            reply = await self._dispatch(call, lent)
-            parent.return_retries(reply.retries_left)
-            return reply
+            return await self._run_nested(parent, call)
+        refused = self._refuse_early(call.context)
+        if refused is not None:
+            return refused
         if call.context.team:
             taken = await self._limiter.take(call.context.team, call.context.deadline)
             if taken.is_error():
                 return Reply.refused(taken.error)
         return await self._dispatch(call, arrival.view.contents.bundle.retries)
 
+    async def _run_nested(self, parent: RunningContext, call: Call) -> Reply:
+        """Run a call that the backend server of this host makes."""
+        lent = parent.lend_retries()
+        reply = None
+        parent.begin_nested()
+        try:
+            reply = self._refuse_early(call.context)
+            if reply is None:
+                reply = await self._dispatch(call, lent)
+            else:
+                reply = reply.with_retries(lent)
+            parent.return_retries(reply.retries_left)
+            return reply
+        finally:
+            answered = reply is not None and reply.outcome is Outcome.ANSWER
+            parent.end_nested(answered, self._early.level(path_of(call.context)))
+
+    def _refuse_early(self, context: CallContext) -> Reply | None:
+        """Refusal of a call that would be shed further on, else None."""
+        rank = rank_of(context.priority, context.team, context.request_id)
+        checked = self._early.check(path_of(context), rank)
+        return Reply.refused(checked.error) if checked.is_error() else None
+
     async def _dispatch(self, call: Call, retries: int) -> Reply:
         context = replace(call.context, retries_left=retries)
         return await self._dispatcher.dispatch(Call(context, call.request))
--- a/damaskramp/node/execution.py
+++ b/damaskramp/node/execution.py
@@ -1,8 +1,10 @@
 """Running a call on the backend server of this host."""
 
+from dataclasses import replace
+
 from expression import Result
 
-from damaskramp.admission import AdmissionController, Demand, Permit, Sample
+from damaskramp.admission import AdmissionController, Demand, Load, Permit, Sample
 from damaskramp.bundle import BundleView
 from damaskramp.config import NodeSettings
 from damaskramp.core import Outcome, Reason, Section, TimerService
@@ -71,7 +73,14 @@
         if reply is None:
             reply = await self._admitted(call)
         self._telemetry.executed(call.context, reply)
-        return reply.with_load(self._admission.load)
+        return reply.with_load(self._load(call.context, reply))
+
+    def _load(self, context: CallContext, reply: Reply) -> Load:
+        """State of the backend server, with the tightest level of the chain."""
+        load = self._admission.load_for(context.team)
+        if reply.load is None:
+            return load
+        return replace(load, shed_level=min(load.shed_level, reply.load.shed_level))
 
     def _check(self, context: CallContext) -> Reply | None:
         """Refusal that needs no look at the backend server."""
@@ -103,16 +112,21 @@
             return Reply.refused(admitted.error).with_retries(context.retries_left)
         permit = admitted.ok
         sample = None
+        token, running = self._contexts.issue(context, permit)
         try:
             started = self._timers.now
-            reply = await self._release(call)
-            overloaded = reply.outcome is not Outcome.ANSWER or reply.status == 503
-            sample = Sample(self._timers.now - started, overloaded)
-            return reply
+            reply = await self._release(call, token)
+            seconds = self._timers.now - started
+            failed = reply.outcome is not Outcome.ANSWER or reply.status == 503
+            overloaded = failed and not running.nested_failed
+            sample = Sample(seconds, overloaded, running.nested_seconds)
+            reply = reply.with_retries(running.retries_left)
+            return reply.with_load(Load(shed_level=running.shed_level))
         finally:
+            self._contexts.end(token)
             permit.release(sample)
 
-    async def _release(self, call: Call) -> Reply:
+    async def _release(self, call: Call, token: str) -> Reply:
         """Send the call to the backend server: from here on it may have run."""
         context = call.context
         if self._key_withdrawn(context):
@@ -121,14 +135,9 @@
         remaining = context.deadline - self._timers.now
         if remaining <= 0:
             return Reply.not_run(Reason.DEADLINE_EXCEEDED)
-        token, running = self._contexts.issue(context)
-        try:
-            request = _backend_request(call, token, remaining)
-            answer = await self._backend.request(request, remaining)
-        finally:
-            self._contexts.end(token)
-        reply = self._judge(context, answer)
-        return reply.with_retries(running.retries_left)
+        request = _backend_request(call, token, remaining)
+        answer = await self._backend.request(request, remaining)
+        return self._judge(context, answer)
 
     def _judge(
         self, context: CallContext, answer: Result[HttpResponse, TransportError]
--- /dev/null
+++ b/damaskramp/node/levels.py
@@ -0,0 +1,85 @@
+"""Shed levels on their way from the executing nodes to the entry."""
+
+from damaskramp.admission import AdmissionEvent, AdmissionEvents, EarlyRefusal, Path
+from damaskramp.core import HostId
+from damaskramp.membership import Member
+from damaskramp.node.calls import Call, CallContext, Reply
+from damaskramp.node.execution import Executor
+from damaskramp.node.peers import PeerClient
+from damaskramp.node.telemetry import Telemetry
+
+__all__ = ["CountedEvents", "HeardExecutor", "HeardPeers", "path_of"]
+
+
+def path_of(context: CallContext) -> Path:
+    """Path whose level holds for a call."""
+    return Path(context.service, context.route, context.team)
+
+
+class CountedEvents(AdmissionEvents):
+    """Events as counters of the node.
+
+    Parameters
+    ----------
+    telemetry : Telemetry
+        Counters.
+    """
+
+    def __init__(self, telemetry: Telemetry) -> None:
+        self._telemetry = telemetry
+
+    def count(self, event: AdmissionEvent) -> None:
+        """Count one event."""
+        self._telemetry.event(event.value)
+
+
+class HeardExecutor:
+    """Execution on this host, with the levels on its replies taken in.
+
+    Parameters
+    ----------
+    own : HostId
+        This host.
+    executor : Executor
+        Execution.
+    early : EarlyRefusal
+        Where the levels go.
+    """
+
+    def __init__(self, own: HostId, executor: Executor, early: EarlyRefusal) -> None:
+        self._own = own
+        self._executor = executor
+        self._early = early
+
+    async def execute(self, call: Call) -> Reply:
+        """Run a call on this host."""
+        reply = await self._executor.execute(call)
+        _hear(self._early, call, self._own, reply)
+        return reply
+
+
+class HeardPeers:
+    """Execution on other hosts, with the levels on their replies taken in.
+
+    Parameters
+    ----------
+    peers : PeerClient
+        Execution.
+    early : EarlyRefusal
+        Where the levels go.
+    """
+
+    def __init__(self, peers: PeerClient, early: EarlyRefusal) -> None:
+        self._peers = peers
+        self._early = early
+
+    async def execute(self, member: Member, call: Call) -> Reply:
+        """Run a call on another host."""
+        reply = await self._peers.execute(member, call)
+        _hear(self._early, call, member.host, reply)
+        return reply
+
+
+def _hear(early: EarlyRefusal, call: Call, host: HostId, reply: Reply) -> None:
+    if reply.load is not None:
+        early.hear(path_of(call.context), host, reply.load)
