--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each is run as ``python -m benchmarks.NAME``."""
--- a/damaskramp/admission/adaptive.py
+++ b/damaskramp/admission/adaptive.py
@@ -1,7 +1,6 @@
 """Adaptive admission: limit, short queue, shed levels and fair shares."""
 
 import asyncio
-import sys
 from collections.abc import Mapping
 
 import numpy as np
@@ -19,6 +18,7 @@
 from damaskramp.admission.events import AdmissionEvent, AdmissionEvents
 from damaskramp.admission.levels import ShedLevels
 from damaskramp.admission.limiter import ConcurrencyLimiter
+from damaskramp.admission.order import ShedOrder
 from damaskramp.admission.queue import Verdict, Waiter, WaitQueue
 from damaskramp.admission.rank import rank_of
 from damaskramp.config import AdmissionSettings
@@ -27,11 +27,16 @@
 __all__ = ["AdaptiveAdmission", "AdaptivePermit"]
 
 DEFAULT_CLASSES = 3
-INTERVAL_SERVICE_TIMES = 1.0
-TARGET_SERVICE_TIMES = 0.25
-MIN_GAIN = 0.7
-MAX_GAIN = 1.3
-GAIN_STEP = 0.02
+INTERVAL_SERVICE_TIMES = 4.0
+TARGET_SERVICE_TIMES = 1.0
+INFINITE = float("inf")
+SPARED_FACTOR = 16
+ORDER_MARGIN_SECONDS = 0.001
+MIN_GAIN = 0.85
+MAX_GAIN = 4.0
+CALM_GAIN = 1.1
+CALM_FACTOR = 1.5
+GAIN_STEP = 0.01
 LONGEST_RETRY_AFTER_SECONDS = 10.0
 
 
@@ -80,10 +85,12 @@
         self._levels = ShedLevels({}, DEFAULT_CLASSES)
         self._own = TimeEstimate()
         self._whole = TimeEstimate()
-        self._queue_was_empty = timers.now
+        self._empty_at: dict[int, float] = {}
+        self._order = ShedOrder(settings.order_seconds)
         self._updated = timers.now
         self._saturated = False
-        self._gain = 1.0
+        self._pressed = False
+        self._gain = MAX_GAIN
 
     @property
     def load(self) -> Load:
@@ -149,13 +156,17 @@
         if self._is_late(demand, now):
             self._refuse(verdict, Reason.DEADLINE_EXCEEDED, AdmissionEvent.LATE)
             return None
+        if not self._order.may_admit(demand.priority, now):
+            self._shed(demand, verdict, AdmissionEvent.SHED)
+            return None
         if self._is_free() and not self._queue:
             self._queue.charge(demand)
-            self._start(verdict)
+            self._start(demand, verdict)
             return None
         self._saturated = True
-        if rank > self._levels.level(demand.team):
-            self._refuse(verdict, Reason.OVERLOADED, AdmissionEvent.SHED)
+        above = rank > self._levels.level(demand.team)
+        if above and now > self._order.may_shed_from(demand.priority):
+            self._shed(demand, verdict, AdmissionEvent.SHED)
             return None
         waiter = Waiter(demand, rank, now, verdict)
         self._enqueue(waiter, now)
@@ -218,44 +229,78 @@
             return False
         return self._active < self._limiter.limit
 
-    def _start(self, verdict: Verdict) -> None:
+    def _start(self, demand: Demand, verdict: Verdict) -> None:
         self._active += 1
+        self._order.admitted(demand.priority, self._timers.now)
         if not self._is_free():
             self._saturated = True
         verdict(None)
 
     def _enqueue(self, waiter: Waiter, now: float) -> None:
-        if not self._queue:
-            self._queue_was_empty = now
+        priority = waiter.demand.priority
+        best = self._queue.best_priority()
+        if best is None or best > priority:
+            self._empty_at[priority] = now
         self._queue.push(waiter)
         if len(self._queue) > self._queue_bound():
-            last = self._queue.last()
-            self._evict(last, Reason.OVERLOADED, AdmissionEvent.EVICTED)
-            if last is waiter:
+            self._make_room(now)
+            if not waiter.waiting:
                 return
-        wait = min(self._longest_wait(now), waiter.demand.deadline - now)
-        waiter.timer = self._timers.after(wait, lambda: self._expire(waiter))
+        end = max(
+            now + self._longest_wait(priority, now),
+            self._order.may_shed_from(priority) + ORDER_MARGIN_SECONDS,
+        )
+        self._expire_at(waiter, min(end, waiter.demand.deadline))
+
+    def _make_room(self, now: float) -> None:
+        """Shed the last in order; one that must not be shed yet may stay a while."""
+        last = self._queue.last()
+        spared = now <= self._order.may_shed_from(last.demand.priority)
+        if spared and len(self._queue) <= SPARED_FACTOR * self._queue_bound():
+            return
+        self._pressed = True
+        self._evict(last, AdmissionEvent.EVICTED)
+
+    def _expire_at(self, waiter: Waiter, moment: float) -> None:
+        delay = moment - self._timers.now
+        waiter.timer = self._timers.after(delay, lambda: self._expire(waiter))
 
     def _queue_bound(self) -> int:
         return max(1, int(self._limiter.limit * self._settings.queue_factor))
 
-    def _longest_wait(self, now: float) -> float:
-        """Bound on the wait, short while the queue stands (controlled delay)."""
+    def _longest_wait(self, priority: int, now: float) -> float:
+        """Bound on the wait, short while the queue stands (controlled delay).
+
+        Only calls of the same or a more important class are ahead, so only those
+        make a standing queue.
+        """
         settings = self._settings
         mean = self._own.mean or 0.0
         interval = settings.queue_interval_seconds
         interval = max(interval, INTERVAL_SERVICE_TIMES * mean)
-        if now - self._queue_was_empty < interval:
+        if now - self._empty_at.setdefault(priority, now) < interval:
             return interval
         return max(settings.queue_target_seconds, TARGET_SERVICE_TIMES * mean)
 
     def _expire(self, waiter: Waiter) -> None:
-        self._evict(waiter, Reason.OVERLOADED, AdmissionEvent.WAITED_TOO_LONG)
+        self._pressed = True
+        self._evict(waiter, AdmissionEvent.WAITED_TOO_LONG)
 
-    def _evict(self, waiter: Waiter, reason: Reason, event: AdmissionEvent) -> None:
+    def _evict(self, waiter: Waiter, event: AdmissionEvent) -> None:
         waiter.timer.cancel()
         self._queue.remove(waiter)
-        self._refuse(waiter.verdict, reason, event)
+        self._shed(waiter.demand, waiter.verdict, event)
+
+    def _shed(self, demand: Demand, verdict: Verdict, event: AdmissionEvent) -> None:
+        """Shed a call, and all lesser ones that wait."""
+        self._order.shed(demand.priority, self._timers.now)
+        self._refuse(verdict, Reason.OVERLOADED, event)
+        while (self._queue.worst_priority() or 0) > demand.priority:
+            last = self._queue.last()
+            last.timer.cancel()
+            self._queue.remove(last)
+            self._order.shed(last.demand.priority, self._timers.now)
+            self._refuse(last.verdict, Reason.OVERLOADED, AdmissionEvent.GAVE_WAY)
 
     def _refuse(self, verdict: Verdict, reason: Reason, event: AdmissionEvent) -> None:
         self._events.count(event)
@@ -271,31 +316,39 @@
                 event = AdmissionEvent.LATE
                 self._refuse(waiter.verdict, Reason.DEADLINE_EXCEEDED, event)
                 continue
-            self._start(waiter.verdict)
+            self._start(waiter.demand, waiter.verdict)
 
     def _capacity(self) -> float:
         """Calls a second that the backend server can serve."""
-        capacity = float(sys.maxsize)
+        capacity = INFINITE
         if self._own.mean:
-            capacity = min(capacity, self._limiter.limit / self._own.mean)
+            capacity = min(capacity, self._limiter.steady_limit / self._own.mean)
         if self._whole.mean:
             capacity = min(capacity, self._slots / self._whole.mean)
         return capacity
 
     def _refresh(self) -> None:
-        elapsed = self._timers.now - self._updated
+        now = self._timers.now
+        elapsed = now - self._updated
         if elapsed < self._settings.level_seconds:
             return
-        self._updated = self._timers.now
+        self._updated = now
         self._adjust_gain()
         self._levels.update(elapsed, self._capacity() * self._gain)
 
     def _adjust_gain(self) -> None:
-        """Keep a short queue: correct the capacity by what it leads to."""
-        if len(self._queue) > self._queue_bound() / 2:
-            self._gain = max(MIN_GAIN, self._gain - GAIN_STEP)
+        """Keep a short queue: correct the capacity by what it leads to.
+
+        Far above 1 the gain stands for a calm backend server whose levels are off.
+        """
+        if self._pressed or len(self._queue) > self._queue_bound() / 2:
+            self._gain = max(MIN_GAIN, min(1.0, self._gain - GAIN_STEP))
         elif not self._saturated:
-            self._gain = min(MAX_GAIN, self._gain + GAIN_STEP)
+            factor = CALM_FACTOR if self._gain > CALM_GAIN else 1.0
+            self._gain = min(MAX_GAIN, self._gain * factor + 2 * GAIN_STEP)
+        elif self._gain < CALM_GAIN:
+            self._gain += GAIN_STEP
+        self._pressed = False
         self._saturated = not self._is_free()
 
     def _retry_after(self) -> float:
--- a/damaskramp/admission/estimate.py
+++ b/damaskramp/admission/estimate.py
@@ -4,7 +4,7 @@
 
 __all__ = ["TimeEstimate"]
 
-SMOOTHING = 0.1
+SMOOTHING = 0.05
 STALE_HALF_LIFE_SECONDS = 1.0
 
 
--- a/damaskramp/admission/events.py
+++ b/damaskramp/admission/events.py
@@ -10,6 +10,7 @@
 
     SHED = "admission_shed"
     EVICTED = "admission_evicted"
+    GAVE_WAY = "admission_gave_way"
     WAITED_TOO_LONG = "admission_waited_too_long"
     LATE = "admission_late"
     WITHDRAWN = "admission_withdrawn"
--- a/damaskramp/admission/limiter.py
+++ b/damaskramp/admission/limiter.py
@@ -15,7 +15,7 @@
 LATENCY_TOLERANCE = 1.3
 PROBE_FACTOR = 0.7
 QUEUEING_ELASTICITY = 0.5
-DECREASE_FACTOR = 0.8
+DECREASE_FACTOR = 0.85
 OVERLOAD_FACTOR = 0.9
 INCREASE_FACTOR = 0.1
 BASELINE_DRIFT = 1.01
@@ -30,6 +30,11 @@
     def limit(self) -> int:
         """Calls that may run at once."""
 
+    @property
+    def steady_limit(self) -> int:
+        """Limit without what a try lowers it by."""
+        return self.limit
+
     @property
     @abstractmethod
     def window(self) -> int:
@@ -121,6 +126,11 @@
         """Number of the current window."""
         return self._window
 
+    @property
+    def steady_limit(self) -> int:
+        """Limit without what a try lowers it by."""
+        return int(self._limit)
+
     @property
     def probing(self) -> bool:
         """Whether the limit is lowered for a try."""
--- a/damaskramp/admission/queue.py
+++ b/damaskramp/admission/queue.py
@@ -109,6 +109,14 @@
         self.charge(waiter.demand)
         return waiter
 
+    def best_priority(self) -> int | None:
+        """Most important class that waits."""
+        return self._tiers.peekitem(0)[0][0] if self._tiers else None
+
+    def worst_priority(self) -> int | None:
+        """Least important class that waits."""
+        return self._tiers.peekitem(-1)[0][0] if self._tiers else None
+
     def last(self) -> Waiter:
         """Call that should give way first."""
         tier, teams = self._tiers.peekitem(-1)
--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -133,6 +133,8 @@
         Longest wait while the queue has been empty lately.
     queue_target_seconds : float
         Longest wait while the queue stands.
+    order_seconds : float
+        Window in which no call is shed while one of a lesser class is admitted.
     level_seconds : float
         Period in which shed levels are worked out anew.
     level_age_seconds : float
@@ -147,6 +149,7 @@
     queue_factor: Annotated[float, Field(gt=0, strict=False)] = 1.0
     queue_interval_seconds: PositiveSeconds = 0.1
     queue_target_seconds: PositiveSeconds = 0.02
+    order_seconds: PositiveSeconds = 0.1
     level_seconds: PositiveSeconds = 0.1
     level_age_seconds: PositiveSeconds = 1.0
     retry_after_seconds: PositiveSeconds = 0.5
