Early refusal keeps the order between classes; shares corrected by what was served

Ruled out: one level for all teams at the entry. Change: common level of all teams by service and route; ShedOrder at the entry; waits bounded by a quarter of the remaining time; correction by calls admitted.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -10,7 +10,7 @@
 
 import numpy as np
 
-from benchmarks.chain_model import ChainModel, Place, ServiceModel
+from benchmarks.chain_model import ChainModel, Place, ServiceModel, Verdict
 from damaskramp.admission import fair_shares
 from damaskramp.core import RequestId, TeamId, VirtualTimers
 
@@ -92,13 +92,14 @@
     scenario: Scenario
     requests: list[Request] = field(default_factory=list)
     places: list[Place] = field(default_factory=list)
+    entries: list[list[Verdict]] = field(default_factory=list)
 
 
 def simulate(scenario: Scenario, mode: str, seed: int) -> Run:
     """Run a scenario to its end."""
     timers = VirtualTimers()
     chain = ChainModel(timers, SERVICES, mode, WEIGHTS, seed)
-    run = Run(scenario, arrivals(scenario, seed), chain.places)
+    run = Run(scenario, arrivals(scenario, seed), chain.places, chain.entries)
     deep = chain.places[-1].backend
     timers.after(CALM_SECONDS, lambda: setattr(deep, "slow", scenario.slow))
     timers.after(TRIGGER_END, lambda: setattr(deep, "slow", 1.0))
@@ -234,7 +235,7 @@
     return sum(r.served is None for r in inside) / len(inside) if inside else 0.0
 
 
-def inversions(run: Run) -> tuple[int, int]:
+def inversions(logs: list[list[Verdict]]) -> tuple[int, int]:
     """Important calls shed while a lesser one was admitted at the same place.
 
     Returns
@@ -244,12 +245,12 @@
     """
     waiting = 0
     window = 0
-    for place in run.places:
+    for verdicts in logs:
         admitted = [[], [], []]
-        for verdict in place.verdicts:
+        for verdict in verdicts:
             if verdict.admitted:
                 admitted[verdict.priority].append(verdict.moment)
-        for verdict in place.verdicts:
+        for verdict in verdicts:
             if not verdict.shed:
                 continue
             lesser = admitted[verdict.priority + 1 :]
@@ -269,7 +270,7 @@
     """Print the table."""
     print(f"capacity {SERVICES[-1].capacity:.0f}/s, seed {SEED}")
     head = f"{'scenario':26} {'control':9} {'goodput':>8} {'recovery':>9}"
-    head += f" {'worst':>6} {'inside':>7} {'inverted':>9} {'(0.1 s)':>8}"
+    head += f" {'worst':>6} {'inside':>7} {'inverted':>9} {'(0.1 s)':>8} {'entry':>6}"
     head += f" {'class0':>7}  swan   arru"
     print(head)
     for scenario in SCENARIOS:
@@ -285,7 +286,8 @@
     seconds = recovery(run)
     worst = worst_team(run)
     inside = refused_inside(run)
-    waiting, window = inversions(run)
+    waiting, window = inversions([place.verdicts for place in run.places])
+    _, entry = inversions(run.entries)
     first = [
         r.served is not None
         for r in run.requests
@@ -293,7 +295,7 @@
     ]
     return (
         f"{scenario.name:26} {mode:9} {good:8.1%} {seconds:7.1f} s {worst:6.0%}"
-        f" {inside:7.1%} {waiting:9d} {window:8d} {np.mean(first):7.1%}"
+        f" {inside:7.1%} {waiting:9d} {window:8d} {entry:6d} {np.mean(first):7.1%}"
         f" {swan_coast(good, seconds):6.2f} {arrumacoes(worst, inside):6.2f}"
     )
 
--- a/benchmarks/chain_model.py
+++ b/benchmarks/chain_model.py
@@ -221,6 +221,7 @@
         self._timers = timers
         self._early: list[EarlyRefusal] = []
         self.places: list[Place] = []
+        self.entries: list[list[Verdict]] = [[] for _ in services]
         for hop, model in enumerate(services):
             if mode == "adaptive":
                 control = AdaptiveControl(timers, model.slots, weights, seed + hop)
@@ -245,7 +246,10 @@
         """Make a call from the node of the hop before; told the level known."""
         early = self._early[hop]
         path = Path(ServiceName(self.places[hop].model.name), "/", team)
-        if early.check(path, rank_of(priority, team, request)).is_error():
+        refused = early.check(path, rank_of(priority, team, request)).is_error()
+        now = self._timers.now
+        self.entries[hop].append(Verdict(now, now, priority, not refused, refused))
+        if refused:
             done(False, early.level(path))
             return
 
--- a/damaskramp/admission/adaptive.py
+++ b/damaskramp/admission/adaptive.py
@@ -30,6 +30,7 @@
 INTERVAL_SERVICE_TIMES = 4.0
 TARGET_SERVICE_TIMES = 1.0
 INFINITE = float("inf")
+WAIT_SHARE = 0.25
 SPARED_FACTOR = 16
 ORDER_MARGIN_SECONDS = 0.001
 MIN_GAIN = 0.85
@@ -232,6 +233,7 @@
     def _start(self, demand: Demand, verdict: Verdict) -> None:
         self._active += 1
         self._order.admitted(demand.priority, self._timers.now)
+        self._levels.admitted(demand.priority, demand.team)
         if not self._is_free():
             self._saturated = True
         verdict(None)
@@ -247,7 +249,11 @@
             if not waiter.waiting:
                 return
         end = max(
-            now + self._longest_wait(priority, now),
+            now
+            + min(
+                self._longest_wait(priority, now),
+                WAIT_SHARE * (waiter.demand.deadline - now),
+            ),
             self._order.may_shed_from(priority) + ORDER_MARGIN_SECONDS,
         )
         self._expire_at(waiter, min(end, waiter.demand.deadline))
--- a/damaskramp/admission/early.py
+++ b/damaskramp/admission/early.py
@@ -5,14 +5,16 @@
 back little by little, and is forgotten once it is above every class.
 """
 
+import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import numpy as np
 from expression import Error, Ok, Result
 
 from damaskramp.admission.admission import Load, Refusal
 from damaskramp.admission.events import AdmissionEvent, AdmissionEvents
+from damaskramp.admission.order import ShedOrder
 from damaskramp.config import AdmissionSettings
 from damaskramp.core import HostId, Reason, ServiceName, TeamId, TimerService
 
@@ -21,6 +23,7 @@
 INFINITE = float("inf")
 WINDOW_SECONDS = 0.2
 SOURCES_KEPT = 10_000
+ALL_TEAMS = TeamId("*")
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +97,7 @@
         self._random = random_state
         self._events = events or AdmissionEvents()
         self._sources: dict[Path, dict[HostId, _Source]] = {}
+        self._orders: dict[Path, ShedOrder] = {}
         self._classes = 0
 
     def configure(self, classes: int) -> None:
@@ -101,19 +105,31 @@
         if classes != self._classes:
             self._classes = classes
             self._sources.clear()
+            self._orders.clear()
 
     def hear(self, path: Path, host: HostId, load: Load) -> None:
         """Take in the level on a reply."""
+        self._take_in(path, host, load.shed_level)
+        self._take_in(_common(path), host, _whole_classes(load.shed_level))
+
+    def _take_in(self, path: Path, host: HostId, level: float) -> None:
         now = self._timers.now
         hosts = self._sources.get(path)
         if hosts is None:
-            if load.shed_level == INFINITE:
+            if level == INFINITE:
                 return
             hosts = self._make_room(path)
-        hosts.setdefault(host, _Source()).add(load.shed_level, now)
+        hosts.setdefault(host, _Source()).add(level, now)
 
     def level(self, path: Path) -> float:
-        """Level above which every host last heard of sheds."""
+        """Level above which every host last heard of sheds.
+
+        The class that is cut for one team is the last for all, so that no team's
+        lesser calls pass while another's more important ones are refused.
+        """
+        return min(self._heard(path), self._heard(_common(path)))
+
+    def _heard(self, path: Path) -> float:
         hosts = self._sources.get(path)
         if not hosts:
             return INFINITE
@@ -125,14 +141,23 @@
                 del hosts[host]
         if all(levels[host] == INFINITE for host in hosts):
             del self._sources[path]
+            self._orders.pop(path, None)
             return INFINITE
         return max(levels[host] for host in hosts)
 
     def check(self, path: Path, rank: float) -> Result[None, Refusal]:
         """Refuse a call that ranks above the level."""
-        level = self.level(path)
-        if rank <= level:
+        priority = int(rank)
+        now = self._timers.now
+        order = self._orders.get(_common(path))
+        if order is None:
             return Ok(None)
+        if order.may_admit(priority, now):
+            spared = now <= order.may_shed_from(priority)
+            if rank <= self.level(path) or spared:
+                order.admitted(priority, now)
+                return Ok(None)
+        order.shed(priority, now)
         self._events.count(AdmissionEvent.REFUSED_EARLY)
         middle = self._settings.retry_after_seconds
         hint = float(middle * self._random.uniform(0.5, 1.5))
@@ -140,5 +165,19 @@
 
     def _make_room(self, path: Path) -> dict[HostId, _Source]:
         if len(self._sources) >= SOURCES_KEPT:
-            del self._sources[next(iter(self._sources))]
+            oldest = next(iter(self._sources))
+            del self._sources[oldest]
+            self._orders.pop(oldest, None)
+        if path.team == ALL_TEAMS:
+            self._orders[path] = ShedOrder(self._settings.order_seconds)
         return self._sources.setdefault(path, {})
+
+
+def _common(path: Path) -> Path:
+    """Path whose level holds for all teams; no team has such a name."""
+    return replace(path, team=ALL_TEAMS)
+
+
+def _whole_classes(level: float) -> float:
+    """Level with the class that it cuts let in as a whole."""
+    return float(math.ceil(level)) if level != INFINITE else level
--- a/damaskramp/admission/estimate.py
+++ b/damaskramp/admission/estimate.py
@@ -46,4 +46,4 @@
             return 0.0
         silence = max(0.0, now - self._updated)
         faded = math.exp2(-silence / STALE_HALF_LIFE_SECONDS)
-        return max(0.0, self._mean - 2 * self._deviation) * faded
+        return max(0.0, self._mean - self._deviation) * faded
--- a/damaskramp/admission/levels.py
+++ b/damaskramp/admission/levels.py
@@ -21,11 +21,14 @@
 __all__ = ["ShedLevels", "fair_shares"]
 
 INFINITE = float("inf")
-DEMAND_SMOOTHING = 0.3
+DEMAND_SMOOTHING = 0.2
 HIDDEN_DEMAND_DECAY = 0.97
 SMALLEST_FRACTION = 0.02
 FRACTIONS_KEPT = 3
 NEGLIGIBLE_RATE = 1e-3
+SERVED_SMOOTHING = 0.1
+CORRECTION_STEP = 0.05
+MAX_CORRECTION = 2.0
 
 
 def fair_shares(
@@ -65,6 +68,10 @@
     ----------
     rate : float
         Estimated calls a second, those refused at the entry included.
+    served : float
+        Admitted calls a second, smoothed.
+    correction : float
+        Factor on the fraction let in, from what came of earlier ones.
     fractions : list of float
         Shares of the hash range that were let in lately, the newest last.
     """
@@ -72,6 +79,9 @@
     rate: float = 0.0
     below: int = 0
     arrived: int = 0
+    admitted: int = 0
+    served: float = 0.0
+    correction: float = 1.0
     fractions: list[float] = field(default_factory=lambda: [1.0])
 
     @property
@@ -92,8 +102,21 @@
         else:
             seen = self.below / self.known / seconds
             self.rate += DEMAND_SMOOTHING * (seen - self.rate)
+        seen = self.admitted / seconds
+        self.served += SERVED_SMOOTHING * (seen - self.served)
         self.below = 0
         self.arrived = 0
+        self.admitted = 0
+
+    def fraction(self, share: float) -> float:
+        """Part of the hash range that brings about a share."""
+        if self.rate <= share:
+            self.correction = 1.0
+            return 1.0
+        lack = (share - self.served) / share if share > 0 else 0.0
+        changed = self.correction * (1.0 + CORRECTION_STEP * max(-1.0, lack))
+        self.correction = min(MAX_CORRECTION, max(1 / MAX_CORRECTION, changed))
+        return min(1.0, self.correction * share / self.rate)
 
     def let_in(self, fraction: float) -> None:
         """Note the share of the hash range that is let in from now on."""
@@ -144,6 +167,12 @@
             demand = self._demands[priority, team] = _Demand()
         demand.count(rank - priority)
 
+    def admitted(self, priority: int, team: TeamId) -> None:
+        """Count a call that was admitted."""
+        demand = self._demands.get((priority, team))
+        if demand is not None:
+            demand.admitted += 1
+
     def demand(self) -> float:
         """Offered calls a second."""
         return sum(demand.rate for demand in self._demands.values())
@@ -186,7 +215,7 @@
             return capacity - wanted
         self._default = priority + 1.0
         for team, share in fair_shares(rates, self._weights, capacity).items():
-            fraction = min(1.0, share / rates[team]) if rates[team] else 1.0
+            fraction = teams[team].fraction(share)
             teams[team].let_in(fraction)
             self._levels[team] = priority + fraction
         return 0.0
