--- /dev/null
+++ b/damaskramp/admission/tests/test_early.py
@@ -0,0 +1,101 @@
+import numpy as np
+
+from damaskramp.admission import EarlyRefusal, Load, Path
+from damaskramp.config import AdmissionSettings
+from damaskramp.core import (
+    HostId,
+    Outcome,
+    Reason,
+    ServiceName,
+    TeamId,
+    VirtualTimers,
+)
+from damaskramp.testing import LoopTestCase
+
+PATH = Path(ServiceName("board"), "/board", TeamId("clubs"))
+OTHER = Path(ServiceName("board"), "/board", TeamId("press"))
+
+
+class TestEarlyRefusal(LoopTestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimers()
+        self.early = EarlyRefusal(
+            AdmissionSettings(), self.timers, np.random.default_rng(1)
+        )
+        self.early.configure(3)
+
+    def hear(self, level, host="h1", path=PATH):
+        self.early.hear(path, HostId(host), Load(shed_level=level))
+
+    def passes(self, rank, path=PATH):
+        return self.early.check(path, rank).is_ok()
+
+    def test_refuses_above_the_level_only(self):
+        self.hear(1.5)
+        self.assertTrue(self.passes(1.4))
+        refusal = self.early.check(PATH, 1.6).error
+        self.assertIs(Reason.OVERLOADED, refusal.reason)
+        self.assertIs(Outcome.NOT_RUN, refusal.outcome)
+
+    def test_hints_are_spread(self):
+        self.hear(0.5)
+        hints = [self.early.check(PATH, 2.0).error.retry_after for _ in range(200)]
+        self.assertGreater(max(hints) / min(hints), 2.0)
+
+    def test_host_with_room_keeps_the_way_open(self):
+        self.hear(0.5, "h1")
+        self.hear(float("inf"), "h2")
+        self.assertTrue(self.passes(2.9))
+
+    def test_silent_source_cannot_refuse_for_ever(self):
+        self.hear(0.0)
+        self.assertFalse(self.passes(2.9))
+        self.timers.advance(1.6)
+        self.assertTrue(self.passes(0.3))
+        self.assertFalse(self.passes(1.5))
+        self.timers.advance(3.0)
+        self.assertTrue(self.passes(2.9))
+
+    def test_silent_host_with_room_is_forgotten_too(self):
+        self.hear(0.5, "h1")
+        self.hear(float("inf"), "h2")
+        self.timers.advance(1.5)
+        self.hear(0.5, "h1")
+        self.assertFalse(self.passes(2.9))
+
+    def test_lesser_class_of_an_unheard_team_is_refused(self):
+        self.hear(0.5)
+        self.assertTrue(self.passes(0.9, OTHER))
+        self.assertFalse(self.passes(1.1, OTHER))
+
+    def test_no_important_call_refused_near_a_lesser_one_let_in(self):
+        self.hear(1.5)
+        self.assertTrue(self.passes(1.2))
+        self.hear(0.5)
+        self.timers.advance(0.25)
+        self.hear(0.5)
+        self.assertFalse(self.passes(0.8))
+        self.hear(1.9)
+        self.assertFalse(self.passes(1.2))
+        self.timers.advance(0.15)
+        self.assertTrue(self.passes(1.2))
+        self.timers.advance(0.25)
+        self.hear(0.5)
+        self.assertFalse(self.passes(0.8))
+
+    def test_important_call_is_spared_just_after_a_lesser_one(self):
+        self.hear(1.5)
+        self.timers.advance(0.3)
+        self.assertTrue(self.passes(1.2))
+        self.hear(0.5)
+        self.assertTrue(self.passes(0.8))
+        self.timers.advance(0.15)
+        self.assertFalse(self.passes(0.8))
+
+    def test_number_of_paths_is_bounded(self):
+        for number in range(12_000):
+            path = Path(ServiceName("s"), f"/{number}", TeamId("t"))
+            self.hear(0.5, path=path)
+        self.assertLessEqual(len(self.early._sources), 10_000)
+        self.assertLessEqual(len(self.early._orders), 10_000)
