--- a/damaskramp/admission/tests/test_adaptive.py
+++ b/damaskramp/admission/tests/test_adaptive.py
@@ -139,15 +139,15 @@
         place.offer("b")
         self.assertTrue(place.admitted("b"))
 
-    def test_slow_calls_further_down_leave_the_limit(self):
-        place = Place(slots=16, limiter=ProbingLimiter(2, 16))
-        for number in range(400):
+    def test_queue_further_down_leaves_the_limit(self):
+        limiter = ProbingLimiter(2, 16)
+        place = Place(slots=16, limiter=limiter)
+        for number in range(3000):
             place.offer(f"{number}", team=f"t{number}")
-            if len(place.running) == 16:
-                nested = 0.0 if number < 200 else 1.0
-                sample = Sample(0.01 + nested, False, nested)
-                place.running.pop(0).release(sample)
-        self.assertEqual(16, place.admission._limiter.steady_limit)
+            if len(place.running) >= limiter.limit:
+                nested = 0.05 * limiter.limit
+                place.running.pop(0).release(Sample(0.01 + nested, False, nested))
+        self.assertEqual(16, limiter.steady_limit)
 
     def test_bundle_moves_the_bound(self):
         place = Place(slots=1)
