--- a/damaskramp/admission/tests/test_adaptive.py
+++ b/damaskramp/admission/tests/test_adaptive.py
@@ -192,11 +192,31 @@
             load = self.run_loop(scenario())
             self.assertEqual((0, 0), (load.in_flight, load.queued))
 
+    def test_lesser_call_is_not_admitted_just_after_an_important_one_was_shed(self):
+        place = Place(slots=1)
+        place.offer("running")
+        place.offer("important", priority=0)
+        place.timers.advance(0.2)
+        self.assertIsNotNone(place.verdicts["important"])
+        place.end()
+        place.offer("lesser", priority=1)
+        self.assertFalse(place.admitted("lesser"))
+        place.timers.advance(0.2)
+        place.offer("lesser again", priority=1)
+        self.assertTrue(place.admitted("lesser again"))
+
+    def test_important_call_is_not_shed_just_after_a_lesser_one_was_admitted(self):
+        place = Place(slots=1)
+        place.offer("lesser", priority=1)
+        for number in range(10):
+            place.offer(f"important {number}", priority=0)
+        self.assertEqual({"lesser"}, set(place.verdicts))
+
     @settings(derandomize=True, deadline=None, max_examples=200)
     @given(
         st.lists(
             st.one_of(
-                st.tuples(st.just("offer"), st.integers(0, 2), st.integers(0, 3)),
+                st.tuples(st.just("offer"), st.integers(0, 2), st.integers(1, 6)),
                 st.tuples(st.just("end"), st.integers(1, 200), st.just(0)),
                 st.tuples(st.just("advance"), st.integers(1, 150), st.just(0)),
             ),
@@ -204,10 +224,11 @@
         )
     )
     def test_order_of_shedding_holds_for_any_sequence(self, steps):
-        place = Place(slots=2)
+        place = Place(slots=1)
         for number, (step, first, second) in enumerate(steps):
             if step == "offer":
-                place.offer(f"{number}", priority=first, team=f"t{second}")
+                for copy in range(second):
+                    place.offer(f"{number}-{copy}", priority=first)
             elif step == "end" and place.running:
                 place.end(first / 1000)
             elif step == "advance":
@@ -222,7 +243,7 @@
             ]
             self.assertTrue(all(priority <= important for priority in near))
         waiting = place.admission.load.queued
-        offers = sum(step == "offer" for step, _, _ in steps)
+        offers = sum(count for step, _, count in steps if step == "offer")
         self.assertEqual(offers, len(place.verdicts) + waiting)
 
 
