--- a/damaskramp/admission/levels.py
+++ b/damaskramp/admission/levels.py
@@ -21,7 +21,9 @@
 __all__ = ["ShedLevels", "fair_shares"]
 
 INFINITE = float("inf")
-DEMAND_SMOOTHING = 0.2
+LARGEST_SMOOTHING = 0.2
+SMALLEST_SMOOTHING = 0.1
+SMOOTHED_CALLS = 50
 HIDDEN_DEMAND_DECAY = 0.97
 SMALLEST_FRACTION = 0.02
 FRACTIONS_KEPT = 3
@@ -94,14 +96,14 @@
         self.arrived += 1
         self.below += part < self.known
 
-    def update(self, seconds: float) -> None:
+    def update(self, seconds: float, smoothing: float) -> None:
         """Estimate the rate anew."""
         if self.known < SMALLEST_FRACTION:
             seen = self.arrived / seconds
             self.rate = max(seen, self.rate * HIDDEN_DEMAND_DECAY)
         else:
             seen = self.below / self.known / seconds
-            self.rate += DEMAND_SMOOTHING * (seen - self.rate)
+            self.rate += smoothing * (seen - self.rate)
         seen = self.admitted / seconds
         self.served += SERVED_SMOOTHING * (seen - self.served)
         self.below = 0
@@ -187,8 +189,10 @@
         capacity : float
             Calls a second that can be served.
         """
+        arrived = sum(demand.arrived for demand in self._demands.values())
+        smoothing = max(SMALLEST_SMOOTHING, arrived / SMOOTHED_CALLS)
         for demand in self._demands.values():
-            demand.update(seconds)
+            demand.update(seconds, min(LARGEST_SMOOTHING, smoothing))
         self._forget_idle()
         self._levels = {}
         self._default = INFINITE
--- a/damaskramp/admission/limiter.py
+++ b/damaskramp/admission/limiter.py
@@ -171,7 +171,7 @@
         self._begin_probe(mean)
 
     def _begin_probe(self, mean: float) -> None:
-        lowered = self._bounded(self._limit * PROBE_FACTOR)
+        lowered = self._bounded(math.ceil(self._limit * PROBE_FACTOR))
         if int(lowered) == int(self._limit):
             self._accept(mean)
             return
--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -146,7 +146,7 @@
     mode: Literal["adaptive", "fixed", "none"] = "adaptive"
     fixed_limit: Annotated[int, Field(gt=0)] = 64
     minimum_limit: Annotated[int, Field(gt=0)] = 2
-    queue_factor: Annotated[float, Field(gt=0, strict=False)] = 2.0
+    queue_factor: Annotated[float, Field(gt=0, strict=False)] = 4.0
     queue_interval_seconds: PositiveSeconds = 0.1
     queue_target_seconds: PositiveSeconds = 0.02
     order_seconds: PositiveSeconds = 0.1
