--- a/damaskramp/admission/early.py
+++ b/damaskramp/admission/early.py
@@ -141,7 +141,6 @@
                 del hosts[host]
         if all(levels[host] == INFINITE for host in hosts):
             del self._sources[path]
-            self._orders.pop(path, None)
             return INFINITE
         return max(levels[host] for host in hosts)
 
@@ -149,9 +148,7 @@
         """Refuse a call that ranks above the level."""
         priority = int(rank)
         now = self._timers.now
-        order = self._orders.get(_common(path))
-        if order is None:
-            return Ok(None)
+        order = self._order(path)
         if order.may_admit(priority, now):
             spared = now <= order.may_shed_from(priority)
             if rank <= self.level(path) or spared:
@@ -163,13 +160,19 @@
         hint = float(middle * self._random.uniform(0.5, 1.5))
         return Error(Refusal(Reason.OVERLOADED, hint))
 
+    def _order(self, path: Path) -> ShedOrder:
+        """Order of shedding of a service and route, kept while levels come and go."""
+        key = _common(path)
+        order = self._orders.get(key)
+        if order is None:
+            if len(self._orders) >= SOURCES_KEPT:
+                del self._orders[next(iter(self._orders))]
+            order = self._orders[key] = ShedOrder(self._settings.order_seconds)
+        return order
+
     def _make_room(self, path: Path) -> dict[HostId, _Source]:
         if len(self._sources) >= SOURCES_KEPT:
-            oldest = next(iter(self._sources))
-            del self._sources[oldest]
-            self._orders.pop(oldest, None)
-        if path.team == ALL_TEAMS:
-            self._orders[path] = ShedOrder(self._settings.order_seconds)
+            del self._sources[next(iter(self._sources))]
         return self._sources.setdefault(path, {})
 
 
--- a/damaskramp/admission/tests/test_early.py
+++ b/damaskramp/admission/tests/test_early.py
@@ -93,9 +93,20 @@
         self.timers.advance(0.15)
         self.assertFalse(self.passes(0.8))
 
+    def test_order_outlives_a_level_that_is_lifted(self):
+        self.assertTrue(self.passes(2.9))
+        self.hear(1.5)
+        self.assertTrue(self.passes(1.8))
+        self.timers.advance(0.3)
+        self.assertFalse(self.passes(1.8))
+        self.hear(float("inf"))
+        self.timers.advance(0.05)
+        self.assertFalse(self.passes(2.9))
+
     def test_number_of_paths_is_bounded(self):
         for number in range(12_000):
             path = Path(ServiceName("s"), f"/{number}", TeamId("t"))
             self.hear(0.5, path=path)
+            self.passes(0.1, path)
         self.assertLessEqual(len(self.early._sources), 10_000)
         self.assertLessEqual(len(self.early._orders), 10_000)
