Levels are lifted sooner while the backend server is half idle

Cause: on real processes levels held for seconds after the surge with one of four slots in use. Ruled out: - Change: the gain grows fast below half of the limit; it falls from 1.1, not from 1.0.

--- a/damaskramp/admission/adaptive.py
+++ b/damaskramp/admission/adaptive.py
@@ -230,6 +230,10 @@
             return False
         return self._active < self._limiter.limit
 
+    def _is_half_idle(self) -> bool:
+        running = self._active + self._parked
+        return running < min(self._slots, self._limiter.limit + self._parked) / 2
+
     def _start(self, demand: Demand, verdict: Verdict) -> None:
         self._active += 1
         self._order.admitted(demand.priority, self._timers.now)
@@ -348,9 +352,11 @@
         Far above 1 the gain stands for a calm backend server whose levels are off.
         """
         if self._pressed or len(self._queue) > self._queue_bound() / 2:
-            self._gain = max(MIN_GAIN, min(1.0, self._gain - GAIN_STEP))
+            step = 2 * GAIN_STEP if self._gain > 1.0 else GAIN_STEP
+            self._gain = max(MIN_GAIN, min(CALM_GAIN, self._gain - step))
         elif not self._saturated:
-            factor = CALM_FACTOR if self._gain > CALM_GAIN else 1.0
+            calm = self._gain > CALM_GAIN or self._is_half_idle()
+            factor = CALM_FACTOR if calm else 1.0
             self._gain = min(MAX_GAIN, self._gain * factor + 2 * GAIN_STEP)
         elif self._gain < CALM_GAIN:
             self._gain += GAIN_STEP
