--- a/damaskramp/admission/__init__.py
+++ b/damaskramp/admission/__init__.py
@@ -1,6 +1,6 @@
 """Which calls a backend server takes on, and which it sheds."""
 
-from damaskramp.admission.adaptive import AdaptiveAdmission, AdaptivePermit
+from damaskramp.admission.adaptive import AdaptiveAdmission
 from damaskramp.admission.admission import (
     AdmissionController,
     Demand,
@@ -19,6 +19,7 @@
     FixedLimiter,
     ProbingLimiter,
 )
+from damaskramp.admission.permit import AdaptivePermit
 from damaskramp.admission.queue import Waiter, WaitQueue
 from damaskramp.admission.rank import rank_of
 
--- a/damaskramp/admission/adaptive.py
+++ b/damaskramp/admission/adaptive.py
@@ -14,34 +14,29 @@
     Refusal,
     Sample,
 )
-from damaskramp.admission.estimate import TimeEstimate
+from damaskramp.admission.capacity import CapacityEstimate
 from damaskramp.admission.events import AdmissionEvent, AdmissionEvents
 from damaskramp.admission.levels import ShedLevels
 from damaskramp.admission.limiter import ConcurrencyLimiter
 from damaskramp.admission.order import ShedOrder
+from damaskramp.admission.permit import AdaptivePermit, PermitOwner
 from damaskramp.admission.queue import Verdict, Waiter, WaitQueue
 from damaskramp.admission.rank import rank_of
 from damaskramp.config import AdmissionSettings
 from damaskramp.core import Reason, TeamId, TimerService
 
-__all__ = ["AdaptiveAdmission", "AdaptivePermit"]
+__all__ = ["AdaptiveAdmission"]
 
 DEFAULT_CLASSES = 3
 INTERVAL_SERVICE_TIMES = 4.0
 TARGET_SERVICE_TIMES = 1.0
-INFINITE = float("inf")
 WAIT_SHARE = 0.25
 SPARED_FACTOR = 16
 ORDER_MARGIN_SECONDS = 0.001
-MIN_GAIN = 0.85
-MAX_GAIN = 4.0
-CALM_GAIN = 1.1
-CALM_FACTOR = 1.5
-GAIN_STEP = 0.01
 LONGEST_RETRY_AFTER_SECONDS = 10.0
 
 
-class AdaptiveAdmission(AdmissionController):
+class AdaptiveAdmission(AdmissionController, PermitOwner):
     """Admission to one backend server.
 
     A call waits at most for the queue interval, and only for the shorter target
@@ -84,14 +79,10 @@
         self._parked = 0
         self._queue = WaitQueue({})
         self._levels = ShedLevels({}, DEFAULT_CLASSES)
-        self._own = TimeEstimate()
-        self._whole = TimeEstimate()
+        self._capacity = CapacityEstimate()
         self._empty_at: dict[int, float] = {}
         self._order = ShedOrder(settings.order_seconds)
         self._updated = timers.now
-        self._saturated = False
-        self._pressed = False
-        self._gain = MAX_GAIN
 
     @property
     def load(self) -> Load:
@@ -164,7 +155,7 @@
             self._queue.charge(demand)
             self._start(demand, verdict)
             return None
-        self._saturated = True
+        self._capacity.saturate()
         above = rank > self._levels.level(demand.team)
         if above and now > self._order.may_shed_from(demand.priority):
             self._shed(demand, verdict, AdmissionEvent.SHED)
@@ -180,7 +171,7 @@
             self._queue.remove(waiter)
             self._events.count(AdmissionEvent.WITHDRAWN)
 
-    def permit(self) -> "AdaptivePermit":
+    def permit(self) -> AdaptivePermit:
         """Permit of a call that was told to start."""
         saturated = self._active >= self._limiter.limit
         return AdaptivePermit(self, self._limiter.window if saturated else None)
@@ -209,8 +200,7 @@
     def _learn(self, sample: Sample, window: int | None) -> None:
         now = self._timers.now
         if not sample.overloaded:
-            self._own.add(sample.own_seconds, now)
-            self._whole.add(sample.seconds, now)
+            self._capacity.observe(sample.own_seconds, sample.seconds, now)
         if window is not None:
             before = self._limiter.limit
             self._limiter.observe(sample.own_seconds, sample.overloaded, window)
@@ -223,7 +213,7 @@
             self.leave(None, None)
 
     def _is_late(self, demand: Demand, now: float) -> bool:
-        return demand.deadline - now <= self._whole.least(now)
+        return demand.deadline - now <= self._capacity.least_seconds(now)
 
     def _is_free(self) -> bool:
         if self._active + self._parked >= self._slots:
@@ -239,7 +229,7 @@
         self._order.admitted(demand.priority, self._timers.now)
         self._levels.admitted(demand.priority, demand.team)
         if not self._is_free():
-            self._saturated = True
+            self._capacity.saturate()
         verdict(None)
 
     def _enqueue(self, waiter: Waiter, now: float) -> None:
@@ -268,7 +258,7 @@
         spared = now <= self._order.may_shed_from(last.demand.priority)
         if spared and len(self._queue) <= SPARED_FACTOR * self._queue_bound():
             return
-        self._pressed = True
+        self._capacity.press()
         self._evict(last, AdmissionEvent.EVICTED)
 
     def _expire_at(self, waiter: Waiter, moment: float) -> None:
@@ -285,7 +275,7 @@
         make a standing queue.
         """
         settings = self._settings
-        mean = self._own.mean or 0.0
+        mean = self._capacity.own_seconds
         interval = settings.queue_interval_seconds
         interval = max(interval, INTERVAL_SERVICE_TIMES * mean)
         if now - self._empty_at.setdefault(priority, now) < interval:
@@ -293,7 +283,7 @@
         return max(settings.queue_target_seconds, TARGET_SERVICE_TIMES * mean)
 
     def _expire(self, waiter: Waiter) -> None:
-        self._pressed = True
+        self._capacity.press()
         self._evict(waiter, AdmissionEvent.WAITED_TOO_LONG)
 
     def _evict(self, waiter: Waiter, event: AdmissionEvent) -> None:
@@ -328,15 +318,6 @@
                 continue
             self._start(waiter.demand, waiter.verdict)
 
-    def _capacity(self) -> float:
-        """Calls a second that the backend server can serve."""
-        capacity = INFINITE
-        if self._own.mean:
-            capacity = min(capacity, self._limiter.steady_limit / self._own.mean)
-        if self._whole.mean:
-            capacity = min(capacity, self._slots / self._whole.mean)
-        return capacity
-
     def _refresh(self) -> None:
         now = self._timers.now
         elapsed = now - self._updated
@@ -344,28 +325,19 @@
             return
         self._updated = now
         self._adjust_gain()
-        self._levels.update(elapsed, self._capacity() * self._gain)
+        self._levels.update(elapsed, self._calls_per_second() * self._capacity.gain)
 
     def _adjust_gain(self) -> None:
-        """Keep a short queue: correct the capacity by what it leads to.
+        stands = len(self._queue) > self._queue_bound() / 2
+        self._capacity.adjust(stands, self._is_half_idle(), self._is_free())
 
-        Far above 1 the gain stands for a calm backend server whose levels are off.
-        """
-        if self._pressed or len(self._queue) > self._queue_bound() / 2:
-            step = 2 * GAIN_STEP if self._gain > 1.0 else GAIN_STEP
-            self._gain = max(MIN_GAIN, min(CALM_GAIN, self._gain - step))
-        elif not self._saturated:
-            calm = self._gain > CALM_GAIN or self._is_half_idle()
-            factor = CALM_FACTOR if calm else 1.0
-            self._gain = min(MAX_GAIN, self._gain * factor + 2 * GAIN_STEP)
-        elif self._gain < CALM_GAIN:
-            self._gain += GAIN_STEP
-        self._pressed = False
-        self._saturated = not self._is_free()
+    def _calls_per_second(self) -> float:
+        limit = self._limiter.steady_limit
+        return self._capacity.calls_per_second(limit, self._slots)
 
     def _retry_after(self) -> float:
         """Hint in proportion to the overload, spread so that none come together."""
-        capacity = max(self._capacity(), 1e-9)
+        capacity = max(self._calls_per_second(), 1e-9)
         excess = max(1.0, self._levels.demand() / capacity)
         middle = self._settings.retry_after_seconds * excess / 2
         spread = self._random.uniform(0.5, 1.5)
@@ -375,40 +347,3 @@
         running = self._active + self._parked
         limit = min(self._slots, self._limiter.limit + self._parked)
         return Load(running, limit, len(self._queue), level)
-
-
-class AdaptivePermit(Permit):
-    """Permit of `AdaptiveAdmission`.
-
-    Parameters
-    ----------
-    owner : AdaptiveAdmission
-        Where it goes back to.
-    window : int or None
-        Window of the limiter in which it was given at saturation.
-    """
-
-    def __init__(self, owner: AdaptiveAdmission, window: int | None) -> None:
-        self._owner = owner
-        self._window = window
-        self._nested = 0
-        self._released = False
-
-    def park(self) -> None:
-        """Note that the call waits for a call to another service."""
-        self._nested += 1
-        if self._nested == 1 and not self._released:
-            self._owner.park()
-
-    def resume(self) -> None:
-        """Note that the call no longer waits for another service."""
-        self._nested -= 1
-        if self._nested == 0 and not self._released:
-            self._owner.resume()
-
-    def release(self, sample: Sample | None) -> None:
-        """Give the right back."""
-        if self._nested:
-            self._owner.resume()
-        self._released = True
-        self._owner.leave(sample, self._window)
