--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each is run as ``python -m benchmarks.NAME``."""
+"""Measurements; each script prints what it measured."""
--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -3,7 +3,14 @@
 import ipaddress
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, field_validator
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    field_validator,
+    model_validator,
+)
 
 __all__ = [
     "Address",
@@ -12,6 +19,7 @@
     "LimitSettings",
     "ListenSettings",
     "LogSettings",
+    "MembershipTimes",
     "NodeIdentity",
     "NodeSettings",
     "PlatformSettings",
@@ -103,7 +111,21 @@
 
 
 class LimitSettings(Settings):
-    """Bounds on what one node holds."""
+    """Bounds on what one node holds.
+
+    Attributes
+    ----------
+    whole_answer_bytes : int
+        Answers up to this size are read whole before their first byte is sent.
+    lame_duck_seconds : float
+        Time that a stopping node goes on taking requests from callers, asking
+        each to close its connection.
+    quiet_seconds : float
+        Time without a call from another node after which a stopping node may
+        close.
+    drain_seconds : float
+        Longest time that a stopping node waits after that.
+    """
 
     connections: Annotated[int, Field(gt=0)] = 1024
     body_bytes: Annotated[int, Field(gt=0)] = 4 * MIB
@@ -111,6 +133,8 @@
     header_bytes: Annotated[int, Field(gt=0)] = 16 * 1024
     header_seconds: PositiveSeconds = 10.0
     idle_seconds: PositiveSeconds = 75.0
+    lame_duck_seconds: Annotated[float, Field(ge=0, strict=False)] = 3.0
+    quiet_seconds: Annotated[float, Field(ge=0, strict=False)] = 1.0
     drain_seconds: PositiveSeconds = 20.0
     depth: Annotated[int, Field(gt=0, le=64)] = 32
 
@@ -155,6 +179,28 @@
     retry_after_seconds: PositiveSeconds = 0.5
 
 
+class MembershipTimes(Settings):
+    """Times of membership and ownership.
+
+    Attributes
+    ----------
+    period_seconds : float
+        Time between two probes of one node.
+    silence_seconds : float
+        Silence after which a member loses what it owns; above the lag of the host
+        list and above 16 periods.
+    """
+
+    period_seconds: PositiveSeconds = 1.0
+    silence_seconds: PositiveSeconds = 16.0
+
+    @model_validator(mode="after")
+    def _check_silence(self) -> "MembershipTimes":
+        if self.silence_seconds < 16 * self.period_seconds:
+            raise ValueError("silence_seconds must be at least 16 times period_seconds")
+        return self
+
+
 class LogSettings(Settings):
     """Logging."""
 
@@ -171,4 +217,5 @@
     trust: TrustSettings
     limits: LimitSettings = LimitSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    membership: MembershipTimes = MembershipTimes()
     log: LogSettings = LogSettings()
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -15,24 +15,37 @@
     HostId,
     Incarnation,
     LoopTimers,
+    ServiceName,
     TimerService,
     ZoneName,
 )
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
-from damaskramp.membership import MemberTable
+from damaskramp.membership import (
+    GossipProtocol,
+    Member,
+    MembershipSettings,
+    MemberTable,
+)
 from damaskramp.node.admin import Admin
 from damaskramp.node.admitting import build_admission, configure_admission
-from damaskramp.node.bundle_watch import BundleWatch
+from damaskramp.node.bundle_controller import BundleController
+from damaskramp.node.bundle_exchange import BundleClient, BundleService, HeldBundle
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
+from damaskramp.node.drain import GracefulDrain
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
+from damaskramp.node.gossip import GossipController
+from damaskramp.node.gossip_server import GossipService
 from damaskramp.node.host_watch import HostWatch
 from damaskramp.node.levels import CountedEvents, HeardExecutor, HeardPeers
 from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
+from damaskramp.node.responses import refuse_unreadable
 from damaskramp.node.telemetry import Telemetry
+from damaskramp.ownership import AcknowledgedOwnership, Owner, OwnershipSettings
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
 from damaskramp.quota import StaticSplit
 
@@ -61,9 +74,12 @@
         self._settings = settings
         self._timers = timers or LoopTimers()
         self._incarnation = Incarnation(int(self._timers.wall_now * MICROSECONDS))
+        self._seed = [*settings.node.host.encode(), self._incarnation]
         self._tasks: list[asyncio.Task] = []
         self._build_sections()
         self._build_clients()
+        self._build_gossip()
+        self._build_bundle_controller()
         self._build_call_path()
         self._build_servers()
         self._bundle.subscribe(self._follow_bundle)
@@ -93,6 +109,7 @@
         classes: tuple[str, ...] = ()
         self._classes = board.create("classes", classes)
         self._telemetry = Telemetry(self._classes)
+        self._objectives = ObjectiveKeeper(self._timers, self._bundle)
 
     def _build_clients(self) -> None:
         settings = self._settings
@@ -102,11 +119,33 @@
         limit = settings.limits.whole_answer_bytes
         self._backend = _client(backend, settings.limits.connections, limit)
 
+    def _build_gossip(self) -> None:
+        times = self._settings.membership
+        own = _own_member(self._settings, self._incarnation)
+        self._ownership = AcknowledgedOwnership(
+            OwnershipSettings(times.silence_seconds, times.period_seconds),
+            self._timers,
+            Owner(own.host, own.incarnation, own.peer),
+        )
+        gossip = MembershipSettings(period_seconds=times.period_seconds)
+        random = np.random.default_rng(self._seed)
+        protocol = GossipProtocol(gossip, self._timers, own, random)
+        self._broadcast = protocol.broadcast
+        self._gossip = GossipController(
+            gossip,
+            self._timers,
+            protocol,
+            self._ownership,
+            self._members,
+            self._pool,
+            self._telemetry,
+        )
+
     def _build_call_path(self) -> None:
         settings = self._settings
         zone = ZoneName(settings.node.zone)
         self._contexts = ContextTable(self._timers)
-        seeds = np.random.SeedSequence().spawn(2)
+        seeds = np.random.SeedSequence(self._seed).spawn(2)
         events = CountedEvents(self._telemetry)
         self._admission = build_admission(settings, self._timers, seeds[0], events)
         self._early = EarlyRefusal(
@@ -143,6 +182,7 @@
             self._dispatcher,
             self._early,
             self._telemetry,
+            self._objectives,
         )
 
     def _build_servers(self) -> None:
@@ -154,12 +194,16 @@
             limits.header_seconds,
             limits.idle_seconds,
         )
-        self._http = HttpServer(bounds, self._entry.handle)
-        admin = Admin(self._telemetry, self.status)
+        self._http = HttpServer(bounds, self._entry.handle, refuse_unreadable)
+        admin = Admin(self._telemetry, self.status, self._objectives.document)
         self._admin = HttpServer(
             HttpServerSettings(connections=ADMIN_CONNECTIONS), admin.handle
         )
-        self._peer = GrpcServer([PeerService(self._timers, self._executor)])
+        gossip = GossipService(self._gossip, self._ownership)
+        self._peer_service = PeerService(self._timers, self._executor)
+        self._peer = GrpcServer(
+            [self._peer_service, gossip, BundleService(self._held_bundle)]
+        )
 
     async def start(self) -> None:
         """Listen and begin to follow the platform.
@@ -173,8 +217,9 @@
         await self._admin.start(*_split(listen.admin))
         await self._peer.start(*_split(listen.peer))
         await self._http.start(*_split(listen.http))
-        self._spawn(self._watch_bundle().run())
+        self._spawn(self._bundle_controller.run())
         self._spawn(self._watch_hosts().run())
+        self._spawn(self._gossip.run())
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
         LOGGER.info("started", extra=fields)
 
@@ -182,13 +227,18 @@
         """Finish what is running, then close; False when time ran out."""
         self._lifecycle.replace(Lifecycle.LEAVING)
         LOGGER.info("leaving", extra={"running": self._executor.running})
-        finished = await self._http.drain(self._settings.limits.drain_seconds)
+        await self._gossip.leave()
+        drain = GracefulDrain(
+            self._settings.limits, self._timers, self._http, self._peer_service
+        )
+        finished = await drain.run()
         self._peer.close()
         await self._peer.wait_closed()
         await self._admin.drain(0.0)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._gossip.close()
         self._pool.close()
         self._backend.close()
         self._platform.close()
@@ -202,9 +252,11 @@
         return {
             "host": self._settings.node.host,
             "zone": self._settings.node.zone,
-            "incarnation": self._incarnation,
+            "incarnation": self._ownership.own.incarnation,
+            "ownership_active": self._ownership.active,
+            "periods": self._gossip.protocol.periods,
             "state": self._lifecycle.value.value,
-            "bundle": None if view is None else _bundle_status(view),
+            "bundle": None if view is None else self._bundle_status(view),
             "members": [_member_status(member) for member in self._members.value],
             "backend": {
                 "service": getattr(self._settings.backend, "service", None),
@@ -214,16 +266,34 @@
             },
         }
 
-    def _watch_bundle(self) -> BundleWatch:
+    def _bundle_status(self, view: BundleView) -> dict:
+        return {
+            "version": view.version,
+            "digest": view.signed.digest,
+            "withdrawn_keys": len(view.withdrawn),
+            "in_force_at": self._bundle_controller.in_force_at,
+        }
+
+    def _build_bundle_controller(self) -> None:
         name = self._settings.platform.bundle_name
-        source = HttpConfigurationSource(self._platform, name)
-        return BundleWatch(
-            self._settings, self._timers, self._bundle, source, self._telemetry
+        self._held_bundle = HeldBundle()
+        self._bundle_controller = BundleController(
+            self._settings,
+            self._timers,
+            self._bundle,
+            self._members,
+            HttpConfigurationSource(self._platform, name),
+            BundleClient(self._pool),
+            self._held_bundle,
+            self._broadcast,
+            self._telemetry,
+            np.random.default_rng(self._seed),
         )
 
     def _watch_hosts(self) -> HostWatch:
         hosts = HttpHostList(self._platform)
-        return HostWatch(self._settings, self._members, hosts, self._telemetry)
+        receive = self._gossip.receive_list
+        return HostWatch(self._settings, receive, hosts, self._telemetry)
 
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._limiter.set_bundle(view)
@@ -251,12 +321,14 @@
     return HttpClient(host, port, idle, whole_bytes)
 
 
-def _bundle_status(view: BundleView) -> dict:
-    return {
-        "version": view.version,
-        "digest": view.signed.digest,
-        "withdrawn_keys": len(view.withdrawn),
-    }
+def _own_member(settings: NodeSettings, incarnation: Incarnation) -> Member:
+    return Member(
+        HostId(settings.node.host),
+        ZoneName(settings.node.zone),
+        settings.listen.peer,
+        ServiceName(settings.backend.service if settings.backend else ""),
+        incarnation=incarnation,
+    )
 
 
 def _member_status(member: object) -> dict:
@@ -265,4 +337,5 @@
         "zone": member.zone,
         "service": member.service,
         "state": member.state.value,
+        "incarnation": member.incarnation,
     }
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -30,6 +30,7 @@
     strip_private,
 )
 from damaskramp.node.levels import path_of
+from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.responses import to_http
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.quota import RateLimiter
@@ -71,6 +72,8 @@
         Levels at which the backend servers shed.
     telemetry : Telemetry
         Counters.
+    objectives : ObjectiveKeeper
+        Service-level indicators.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         dispatcher: Dispatcher,
         early: EarlyRefusal,
         telemetry: Telemetry,
+        objectives: ObjectiveKeeper,
     ) -> None:
         self._settings = settings
         self._timers = timers
@@ -92,6 +96,7 @@
         self._dispatcher = dispatcher
         self._early = early
         self._telemetry = telemetry
+        self._objectives = objectives
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -102,7 +107,9 @@
             return to_http(prepared.error)
         arrival, call = prepared.ok
         reply = await self._run(arrival, call)
-        self._telemetry.answered(call.context, reply, self._timers.now - started)
+        seconds = self._timers.now - started
+        self._telemetry.answered(call.context, reply, seconds)
+        self._objectives.observe(call.context, reply, seconds)
         return to_http(reply, call.context.request_id)
 
     def _arrive(self, request: HttpRequest, started: float) -> Result[_Arrival, Reply]:
--- a/damaskramp/node/execution.py
+++ b/damaskramp/node/execution.py
@@ -12,7 +12,7 @@
 from damaskramp.http import TransportErrorKind as Kind
 from damaskramp.node.calls import Call, CallContext, Reply
 from damaskramp.node.contexts import ContextTable
-from damaskramp.node.fields import CONTEXT, PRIORITY, REQUEST_ID, TIMEOUT_MS
+from damaskramp.node.fields import CONTEXT, PRIORITY, REQUEST_ID, TEAM, TIMEOUT_MS
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.telemetry import Telemetry
 
@@ -78,9 +78,11 @@
     def _load(self, context: CallContext, reply: Reply) -> Load:
         """State of the backend server, with the tightest level of the chain."""
         load = self._admission.load_for(context.team)
-        if reply.load is None:
-            return load
-        return replace(load, shed_level=min(load.shed_level, reply.load.shed_level))
+        level = load.shed_level
+        if reply.load is not None:
+            level = min(level, reply.load.shed_level)
+        leaving = self._lifecycle.value is Lifecycle.LEAVING
+        return replace(load, shed_level=level, leaving=leaving)
 
     def _check(self, context: CallContext) -> Reply | None:
         """Refusal that needs no look at the backend server."""
@@ -168,7 +170,7 @@
         (REQUEST_ID, context.request_id.encode()),
         (TIMEOUT_MS, b"%d" % int(remaining * 1000)),
         (PRIORITY, b"%d" % context.priority),
-        (b"damaskramp-team", context.team.encode()),
+        (TEAM, context.team.encode()),
     )
     return HttpRequest(
         call.request.method, call.request.target, headers, call.request.body
--- a/damaskramp/node/tests/test_levels.py
+++ b/damaskramp/node/tests/test_levels.py
@@ -189,9 +189,17 @@
     def entry(self, peers):
         early = early_refusal(self.timers)
         dispatcher = HeardDispatcher(HeardPeers(peers, early))
-        return Entry(
-            None, self.timers, None, None, None, dispatcher, early, None
-        ), early
+        unused = [None] * 3
+        entry = Entry(
+            None,
+            self.timers,
+            *unused,
+            dispatcher,
+            early,
+            telemetry=None,
+            objectives=None,
+        )
+        return entry, early
 
     def test_nested_call_above_the_level_is_refused_without_a_message(self):
         peers = FakePeers(Reply(Outcome.ANSWER, load=Load(shed_level=RANK - 0.01)))
