--- a/damaskramp/core/__init__.py
+++ b/damaskramp/core/__init__.py
@@ -1,7 +1,13 @@
 """Types that every other package shares: ids, states, findings, time."""
 
 from damaskramp.core.blackboard import Blackboard, Section
-from damaskramp.core.findings import Finding, Findings, Place, Severity
+from damaskramp.core.findings import (
+    Finding,
+    Findings,
+    FindingsError,
+    Place,
+    Severity,
+)
 from damaskramp.core.ids import (
     BundleVersion,
     HostId,
@@ -13,6 +19,7 @@
     ZoneName,
 )
 from damaskramp.core.outcomes import Outcome, Reason
+from damaskramp.core.randomness import host_generator
 from damaskramp.core.timers import LoopTimers, TimerHandle, TimerService, VirtualTimers
 
 __all__ = [
@@ -20,6 +27,7 @@
     "BundleVersion",
     "Finding",
     "Findings",
+    "FindingsError",
     "HostId",
     "Incarnation",
     "KeyDigest",
@@ -36,4 +44,5 @@
     "TimerService",
     "VirtualTimers",
     "ZoneName",
+    "host_generator",
 ]
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -7,17 +7,20 @@
 from grpclib.server import Server as GrpcServer
 
 from damaskramp.admission import EarlyRefusal
-from damaskramp.balancing import RoundRobin
+from damaskramp.balancing import ObservedBalancer
 from damaskramp.bundle import BundleView
 from damaskramp.config import NodeSettings
 from damaskramp.core import (
     Blackboard,
+    FindingsError,
     HostId,
     Incarnation,
     LoopTimers,
     ServiceName,
+    TeamId,
     TimerService,
     ZoneName,
+    host_generator,
 )
 from damaskramp.http import HttpClient, HttpServer, HttpServerSettings
 from damaskramp.membership import (
@@ -30,6 +33,7 @@
 from damaskramp.node.admitting import build_admission, configure_admission
 from damaskramp.node.bundle_controller import BundleController
 from damaskramp.node.bundle_exchange import BundleClient, BundleService, HeldBundle
+from damaskramp.node.containment import Containment
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.drain import GracefulDrain
@@ -44,10 +48,14 @@
 from damaskramp.node.peer_server import PeerService
 from damaskramp.node.peers import PeerClient, PeerPool
 from damaskramp.node.responses import refuse_unreadable
+from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.ownership import AcknowledgedOwnership, Owner, OwnershipSettings
 from damaskramp.platform import HttpConfigurationSource, HttpHostList
+from damaskramp.quarantine import Quarantine, Standing
 from damaskramp.quota import StaticSplit
+from damaskramp.retries import Backoff, HintSpreader
+from damaskramp.tls import TlsContexts
 
 __all__ = ["Node"]
 
@@ -55,6 +63,7 @@
 
 MICROSECONDS = 1_000_000
 ADMIN_CONNECTIONS = 64
+EXPIRE_SECONDS = 30.0
 
 
 class Node:
@@ -114,7 +123,8 @@
     def _build_clients(self) -> None:
         settings = self._settings
         self._platform = _client(settings.platform.address, 4, 2**20)
-        self._pool = PeerPool()
+        self._tls = TlsContexts(settings.tls)
+        self._pool = PeerPool(self._tls)
         backend = settings.backend.address if settings.backend else "127.0.0.1:1"
         limit = settings.limits.whole_answer_bytes
         self._backend = _client(backend, settings.limits.connections, limit)
@@ -155,6 +165,15 @@
             events,
         )
         self._limiter = StaticSplit(self._timers, zone)
+        own = HostId(settings.node.host)
+        self._quarantine = Quarantine(
+            settings.quarantine,
+            self._timers,
+            own,
+            zone,
+            self._broadcast,
+            self._telemetry.event,
+        )
         self._executor = Executor(
             settings,
             self._timers,
@@ -163,15 +182,36 @@
             self._admission,
             self._backend,
             self._contexts,
+            Containment(
+                settings.quarantine,
+                self._timers,
+                self._quarantine,
+                self._backend,
+                self._telemetry.event,
+            ),
             self._telemetry,
         )
+        self._balancer = ObservedBalancer(
+            settings.balancing, self._timers, own, zone, self._telemetry.event
+        )
+        generator = host_generator(settings.retries.seed, own)
         self._dispatcher = Dispatcher(
-            HostId(settings.node.host),
+            own,
             self._timers,
+            settings.retries,
+            Backoff(settings.retries, generator),
             self._members,
-            RoundRobin(zone),
-            HeardExecutor(HostId(settings.node.host), self._executor, self._early),
+            self._balancer,
+            HeardExecutor(own, self._executor, self._early),
             HeardPeers(PeerClient(self._timers, self._pool), self._early),
+            self._quarantine,
+            self._telemetry.event,
+        )
+        self._allowances = RetryAllowances(
+            settings.retries,
+            self._timers,
+            HintSpreader(settings.retries, generator),
+            self._telemetry.event,
         )
         self._entry = Entry(
             settings,
@@ -181,6 +221,7 @@
             self._limiter,
             self._dispatcher,
             self._early,
+            self._allowances,
             self._telemetry,
             self._objectives,
         )
@@ -212,13 +253,20 @@
         ------
         OSError
             If an address is in use.
+        FindingsError
+            If a certificate can't be read.
         """
         listen = self._settings.listen
+        loaded = self._tls.load("settings")
+        if loaded.is_error():
+            raise FindingsError(loaded.error)
         await self._admin.start(*_split(listen.admin))
-        await self._peer.start(*_split(listen.peer))
-        await self._http.start(*_split(listen.http))
+        await self._peer.start(*_split(listen.peer), ssl=self._tls.peer_server)
+        await self._http.start(*_split(listen.http), self._tls.caller_server)
+        self._tls.follow(self._timers, self._telemetry.event)
         self._spawn(self._bundle_controller.run())
         self._spawn(self._watch_hosts().run())
+        self._timers.every(EXPIRE_SECONDS, self._quarantine.expire)
         self._spawn(self._gossip.run())
         fields = {"host": self._settings.node.host, "incarnation": self._incarnation}
         LOGGER.info("started", extra=fields)
@@ -238,6 +286,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tls.close()
         await self._gossip.close()
         self._pool.close()
         self._backend.close()
@@ -264,6 +313,11 @@
                 "limit": load.limit,
                 "queued": load.queued,
             },
+            "quarantine": {
+                "suspects": self._quarantine.count(Standing.SUSPECT),
+                "quarantined": self._quarantine.count(Standing.QUARANTINED),
+            },
+            "ejected": sorted(self._balancer.ejected),
         }
 
     def _bundle_status(self, view: BundleView) -> dict:
@@ -297,6 +351,8 @@
 
     def _follow_bundle(self, view: BundleView | None) -> None:
         self._limiter.set_bundle(view)
+        teams = frozenset(TeamId(team.name) for team in view.contents.teams)
+        self._allowances.set_teams(teams)
         self._classes.replace(view.contents.bundle.classes)
         configure_admission(self._settings, view, self._admission)
         self._early.configure(len(view.contents.bundle.classes))
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -1,7 +1,7 @@
 """Entry of requests, from callers and from the backend server of this host."""
 
 import uuid
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
@@ -32,6 +32,7 @@
 from damaskramp.node.levels import path_of
 from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.responses import to_http
+from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.quota import RateLimiter
 
@@ -70,6 +71,8 @@
         Way to the backend servers.
     early : EarlyRefusal
         Levels at which the backend servers shed.
+    allowances : RetryAllowances
+        Retries that calls set out with.
     telemetry : Telemetry
         Counters.
     objectives : ObjectiveKeeper
@@ -85,6 +88,7 @@
         limiter: RateLimiter,
         dispatcher: Dispatcher,
         early: EarlyRefusal,
+        allowances: RetryAllowances,
         telemetry: Telemetry,
         objectives: ObjectiveKeeper,
     ) -> None:
@@ -95,6 +99,7 @@
         self._limiter = limiter
         self._dispatcher = dispatcher
         self._early = early
+        self._allowances = allowances
         self._telemetry = telemetry
         self._objectives = objectives
 
@@ -106,7 +111,7 @@
             self._telemetry.refused(prepared.error)
             return to_http(prepared.error)
         arrival, call = prepared.ok
-        reply = await self._run(arrival, call)
+        reply = self._allowances.with_spread_hint(await self._run(arrival, call))
         seconds = self._timers.now - started
         self._telemetry.answered(call.context, reply, seconds)
         self._objectives.observe(call.context, reply, seconds)
@@ -183,8 +188,9 @@
 
     async def _run(self, arrival: _Arrival, call: Call) -> Reply:
         parent = arrival.caller.parent
+        stated = bool(arrival.request.values(IDEMPOTENCY_KEY))
         if parent is not None:
-            return await self._run_nested(parent, call)
+            return await self._run_nested(parent, call, stated)
         refused = self._refuse_early(call.context)
         if refused is not None:
             return refused
@@ -192,35 +198,36 @@
             taken = await self._limiter.take(call.context.team, call.context.deadline)
             if taken.is_error():
                 return Reply.refused(taken.error)
-        return await self._dispatch(call, arrival.view.contents.bundle.retries)
+        head = arrival.view.contents.bundle
+        dispatch = self._dispatcher.dispatch
+        return await self._allowances.run_outside(call, head, stated, dispatch)
 
-    async def _run_nested(self, parent: RunningContext, call: Call) -> Reply:
+    async def _run_nested(
+        self, parent: RunningContext, call: Call, stated: bool
+    ) -> Reply:
         """Run a call that the backend server of this host makes."""
-        lent = parent.lend_retries()
         reply = None
+        run = self._allowances.run_nested
         parent.begin_nested()
         try:
-            reply = self._refuse_early(call.context)
-            if reply is None:
-                reply = await self._dispatch(call, lent)
-            else:
-                reply = reply.with_retries(lent)
-            parent.return_retries(reply.retries_left)
+            reply = await run(call, parent, stated, self._dispatch_unless_refused)
             return reply
         finally:
             answered = reply is not None and reply.outcome is Outcome.ANSWER
             parent.end_nested(answered, self._early.level(path_of(call.context)))
 
+    async def _dispatch_unless_refused(self, call: Call) -> Reply:
+        refused = self._refuse_early(call.context)
+        if refused is not None:
+            return refused.with_retries(call.context.retries_left)
+        return await self._dispatcher.dispatch(call)
+
     def _refuse_early(self, context: CallContext) -> Reply | None:
         """Refusal of a call that would be shed further on, else None."""
         rank = rank_of(context.priority, context.team, context.request_id)
         checked = self._early.check(path_of(context), rank)
         return Reply.refused(checked.error) if checked.is_error() else None
 
-    async def _dispatch(self, call: Call, retries: int) -> Reply:
-        context = replace(call.context, retries_left=retries)
-        return await self._dispatcher.dispatch(Call(context, call.request))
-
 
 def _forwarded(request: HttpRequest) -> HttpRequest:
     headers = strip_private(end_to_end(request.headers))
--- a/damaskramp/node/tests/test_levels.py
+++ b/damaskramp/node/tests/test_levels.py
@@ -12,7 +12,7 @@
     Permit,
     rank_of,
 )
-from damaskramp.config import AdmissionSettings
+from damaskramp.config import AdmissionSettings, RetrySettings
 from damaskramp.core import (
     BundleVersion,
     HostId,
@@ -33,6 +33,7 @@
 from damaskramp.node.execution import Executor
 from damaskramp.node.levels import HeardPeers
 from damaskramp.node.lifecycle import Lifecycle
+from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
 from damaskramp.testing import LoopTestCase
 
@@ -100,6 +101,14 @@
         return Ok(HttpResponse(self.status, (), b""))
 
 
+class FakeContainment:
+    async def run(self, call, work):
+        return await work(call)
+
+    async def release(self, call, work):
+        return await work
+
+
 class FakePeers:
     def __init__(self, reply):
         self.reply = reply
@@ -148,6 +157,7 @@
             admission,
             backend,
             contexts,
+            FakeContainment(),
             Telemetry(classes),
         )
         reply = self.run_loop(executor.execute(CALL))
@@ -189,6 +199,7 @@
     def entry(self, peers):
         early = early_refusal(self.timers)
         dispatcher = HeardDispatcher(HeardPeers(peers, early))
+        allowances = RetryAllowances(RetrySettings(), self.timers, None, None)
         unused = [None] * 3
         entry = Entry(
             None,
@@ -196,6 +207,7 @@
             *unused,
             dispatcher,
             early,
+            allowances,
             telemetry=None,
             objectives=None,
         )
@@ -207,9 +219,9 @@
         parent = RunningContext(CONTEXT, FakePermit(), self.timers)
 
         async def scenario():
-            first = await entry._run_nested(parent, CALL)
+            first = await entry._run_nested(parent, CALL, False)
             self.timers.advance(0.5)
-            return first, await entry._run_nested(parent, CALL)
+            return first, await entry._run_nested(parent, CALL, False)
 
         first, second = self.run_loop(scenario())
         self.assertIs(Outcome.ANSWER, first.outcome)
@@ -229,7 +241,7 @@
         parent = RunningContext(CONTEXT, permit, self.timers)
 
         async def scenario():
-            task = asyncio.ensure_future(entry._run_nested(parent, CALL))
+            task = asyncio.ensure_future(entry._run_nested(parent, CALL, False))
             await asyncio.sleep(0)
             parked = permit.parked
             task.cancel()
