--- /dev/null
+++ b/damaskramp/admission/early.py
@@ -0,0 +1,186 @@
+"""Early refusal at the entry, by the levels that rode on earlier replies.
+
+A level heard of a host holds as it is for `level_age_seconds`. Without news it then
+rises by one class for each further such time, so that calls which ask again come
+back little by little, and is forgotten once it is above every class.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+import numpy as np
+from expression import Error, Ok, Result
+
+from damaskramp.admission.admission import Load, Refusal
+from damaskramp.admission.events import AdmissionEvent, AdmissionEvents
+from damaskramp.admission.order import ShedOrder
+from damaskramp.config import AdmissionSettings
+from damaskramp.core import HostId, Reason, ServiceName, TeamId, TimerService
+
+__all__ = ["EarlyRefusal", "Path"]
+
+INFINITE = float("inf")
+WINDOW_SECONDS = 0.2
+SOURCES_KEPT = 10_000
+ALL_TEAMS = TeamId("*")
+
+
+@dataclass(frozen=True, slots=True)
+class Path:
+    """Calls that take the same way: one level holds for all of them.
+
+    Attributes
+    ----------
+    route : str
+        Prefix of the route.
+    """
+
+    service: ServiceName
+    route: str
+    team: TeamId
+
+
+@dataclass(slots=True)
+class _Source:
+    """Levels that one host has told lately."""
+
+    told: deque[tuple[float, float]] = field(default_factory=deque)
+
+    def add(self, level: float, now: float) -> None:
+        while self.told and now - self.told[0][0] > WINDOW_SECONDS:
+            self.told.popleft()
+        while self.told and self.told[-1][1] <= level:
+            self.told.pop()
+        self.told.append((now, level))
+
+    def level(self, now: float, age_seconds: float) -> float:
+        """Highest level told in the last window, risen by its age."""
+        heard, level = self.told[-1]
+        for moment, told in self.told:
+            if heard - moment <= WINDOW_SECONDS:
+                level = max(level, told)
+        over_age = max(0.0, now - heard - age_seconds)
+        return level + over_age / age_seconds
+
+    def is_stale(self, now: float, age_seconds: float, classes: int) -> bool:
+        """Whether the level has no force any more."""
+        if now - self.told[-1][0] <= age_seconds:
+            return False
+        return self.level(now, age_seconds) > classes
+
+
+class EarlyRefusal:
+    """Refuses what the hosts of a service would shed.
+
+    Parameters
+    ----------
+    settings : AdmissionSettings
+        Settings.
+    timers : TimerService
+        Time.
+    random_state : numpy.random.Generator
+        Spreads the retry-after hints.
+    events : AdmissionEvents, optional
+        Told of refusals.
+    """
+
+    def __init__(
+        self,
+        settings: AdmissionSettings,
+        timers: TimerService,
+        random_state: np.random.Generator,
+        events: AdmissionEvents | None = None,
+    ) -> None:
+        self._settings = settings
+        self._timers = timers
+        self._random = random_state
+        self._events = events or AdmissionEvents()
+        self._sources: dict[Path, dict[HostId, _Source]] = {}
+        self._orders: dict[Path, ShedOrder] = {}
+        self._classes = 0
+
+    def configure(self, classes: int) -> None:
+        """Follow the number of classes; levels of former classes are forgotten."""
+        if classes != self._classes:
+            self._classes = classes
+            self._sources.clear()
+            self._orders.clear()
+
+    def hear(self, path: Path, host: HostId, load: Load) -> None:
+        """Take in the level on a reply."""
+        self._take_in(path, host, load.shed_level)
+        self._take_in(_common(path), host, _whole_classes(load.shed_level))
+
+    def _take_in(self, path: Path, host: HostId, level: float) -> None:
+        now = self._timers.now
+        hosts = self._sources.get(path)
+        if hosts is None:
+            if level == INFINITE:
+                return
+            hosts = self._make_room(path)
+        hosts.setdefault(host, _Source()).add(level, now)
+
+    def level(self, path: Path) -> float:
+        """Level above which every host last heard of sheds.
+
+        The class that is cut for one team is the last for all, so that no team's
+        lesser calls pass while another's more important ones are refused.
+        """
+        return min(self._heard(path), self._heard(_common(path)))
+
+    def _heard(self, path: Path) -> float:
+        hosts = self._sources.get(path)
+        if not hosts:
+            return INFINITE
+        now = self._timers.now
+        age = self._settings.level_age_seconds
+        levels = {host: source.level(now, age) for host, source in hosts.items()}
+        for host in levels:
+            if hosts[host].is_stale(now, age, self._classes):
+                del hosts[host]
+        if all(levels[host] == INFINITE for host in hosts):
+            del self._sources[path]
+            return INFINITE
+        return max(levels[host] for host in hosts)
+
+    def check(self, path: Path, rank: float) -> Result[None, Refusal]:
+        """Refuse a call that ranks above the level."""
+        priority = int(rank)
+        now = self._timers.now
+        order = self._order(path)
+        if order.may_admit(priority, now):
+            spared = now <= order.may_shed_from(priority)
+            if rank <= self.level(path) or spared:
+                order.admitted(priority, now)
+                return Ok(None)
+        order.shed(priority, now)
+        self._events.count(AdmissionEvent.REFUSED_EARLY)
+        middle = self._settings.retry_after_seconds
+        hint = float(middle * self._random.uniform(0.5, 1.5))
+        return Error(Refusal(Reason.OVERLOADED, hint))
+
+    def _order(self, path: Path) -> ShedOrder:
+        """Order of shedding of a service and route, kept while levels come and go."""
+        key = _common(path)
+        order = self._orders.get(key)
+        if order is None:
+            if len(self._orders) >= SOURCES_KEPT:
+                del self._orders[next(iter(self._orders))]
+            order = self._orders[key] = ShedOrder(self._settings.order_seconds)
+        return order
+
+    def _make_room(self, path: Path) -> dict[HostId, _Source]:
+        if len(self._sources) >= SOURCES_KEPT:
+            del self._sources[next(iter(self._sources))]
+        return self._sources.setdefault(path, {})
+
+
+def _common(path: Path) -> Path:
+    """Path whose level holds for all teams; no team has such a name."""
+    return replace(path, team=ALL_TEAMS)
+
+
+def _whole_classes(level: float) -> float:
+    """Level with the class that it cuts let in as a whole."""
+    return float(math.ceil(level)) if level != INFINITE else level
--- a/damaskramp/config/__init__.py
+++ b/damaskramp/config/__init__.py
@@ -2,6 +2,7 @@
 
 from damaskramp.config.settings import (
     Address,
+    AdmissionSettings,
     BackendSettings,
     BalancingSettings,
     DedupSettings,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "Address",
+    "AdmissionSettings",
     "BackendSettings",
     "BalancingSettings",
     "DedupSettings",
--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -7,7 +7,7 @@
 import numpy as np
 from grpclib.server import Server as GrpcServer
 
-from damaskramp.admission import FixedAdmission
+from damaskramp.admission import EarlyRefusal
 from damaskramp.balancing import ObservedBalancer
 from damaskramp.bundle import BundleView
 from damaskramp.config import NodeSettings
@@ -32,6 +32,7 @@
     MemberTable,
 )
 from damaskramp.node.admin import Admin
+from damaskramp.node.admitting import build_admission, configure_admission
 from damaskramp.node.bundle_controller import BundleController
 from damaskramp.node.bundle_exchange import BundleClient, BundleService, HeldBundle
 from damaskramp.node.containment import Containment
@@ -46,6 +47,7 @@
 from damaskramp.node.home_peers import GrpcHomeMessages, HomeService
 from damaskramp.node.home_router import HomeRouter
 from damaskramp.node.host_watch import HostWatch
+from damaskramp.node.levels import CountedEvents, HeardExecutor, HeardPeers
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.peer_server import PeerService
@@ -65,7 +67,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-DEFAULT_SLOTS = 64
 MICROSECONDS = 1_000_000
 ADMIN_CONNECTIONS = 64
 EXPIRE_SECONDS = 30.0
@@ -160,9 +161,17 @@
     def _build_call_path(self) -> None:
         settings = self._settings
         zone = ZoneName(settings.node.zone)
-        self._contexts = ContextTable()
+        self._contexts = ContextTable(self._timers)
         self._build_dedup(zone)
-        self._admission = FixedAdmission(DEFAULT_SLOTS)
+        seeds = np.random.SeedSequence(self._seed).spawn(2)
+        events = CountedEvents(self._telemetry)
+        self._admission = build_admission(settings, self._timers, seeds[0], events)
+        self._early = EarlyRefusal(
+            settings.admission,
+            self._timers,
+            np.random.default_rng(seeds[1]),
+            events,
+        )
         self._quota = QuotaNode(
             settings,
             self._timers,
@@ -211,8 +220,8 @@
             Backoff(settings.retries, generator),
             self._members,
             self._balancer,
-            self._executor,
-            PeerClient(self._timers, self._pool),
+            HeardExecutor(own, self._executor, self._early),
+            HeardPeers(PeerClient(self._timers, self._pool), self._early),
             self._quarantine,
             self._telemetry.event,
         )
@@ -230,6 +239,7 @@
             self._contexts,
             self._quota.limiter,
             self._dispatcher,
+            self._early,
             self._allowances,
             self._telemetry,
             self._homes,
@@ -424,6 +434,8 @@
         self._allowances.set_teams(teams)
         self._classes.replace(view.contents.bundle.classes)
         self._home.set_bundle(view)
+        configure_admission(self._settings, view, self._admission)
+        self._early.configure(len(view.contents.bundle.classes))
         if self._lifecycle.value is Lifecycle.STARTING:
             self._lifecycle.replace(Lifecycle.SERVING)
 
--- a/damaskramp/node/entry.py
+++ b/damaskramp/node/entry.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from damaskramp.admission import EarlyRefusal, rank_of
 from damaskramp.bundle import BundleView, Route
 from damaskramp.config import NodeSettings
 from damaskramp.core import (
@@ -37,6 +38,7 @@
     soften,
     with_next_id,
 )
+from damaskramp.node.levels import path_of
 from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.responses import to_http
 from damaskramp.node.retrying import RetryAllowances
@@ -74,6 +76,8 @@
         Rates of the teams.
     dispatcher : Dispatcher
         Way to the backend servers.
+    early : EarlyRefusal
+        Levels at which the backend servers shed.
     allowances : RetryAllowances
         Retries that calls set out with.
     telemetry : Telemetry
@@ -94,6 +98,7 @@
         contexts: ContextTable,
         limiter: RateLimiter,
         dispatcher: Dispatcher,
+        early: EarlyRefusal,
         allowances: RetryAllowances,
         telemetry: Telemetry,
         homes: HomeRouter,
@@ -106,6 +111,7 @@
         self._contexts = contexts
         self._limiter = limiter
         self._dispatcher = dispatcher
+        self._early = early
         self._allowances = allowances
         self._telemetry = telemetry
         self._homes = homes
@@ -199,19 +205,46 @@
 
     async def _run(self, arrival: _Arrival, identity: Identity, call: Call) -> Reply:
         parent = arrival.caller.parent
-        dispatch = partial(self._dispatch, arrival, identity)
         if parent is not None:
-            return await self._allowances.run_nested(
-                call, parent, identity.stated, dispatch
-            )
+            return await self._run_nested(arrival, identity, call)
+        refused = self._refuse_early(call.context)
+        if refused is not None:
+            return await self._true_refusal(arrival, identity, call, refused)
         if call.context.team:
             taken = await self._limiter.take(call.context.team, call.context.deadline)
             if taken.is_error():
                 refusal = Reply.refused(taken.error)
                 return await self._true_refusal(arrival, identity, call, refusal)
         head = arrival.view.contents.bundle
+        dispatch = partial(self._dispatch, arrival, identity)
         return await self._allowances.run_outside(call, head, identity.stated, dispatch)
 
+    async def _run_nested(
+        self, arrival: _Arrival, identity: Identity, call: Call
+    ) -> Reply:
+        """Run a call that the backend server of this host makes."""
+        parent = arrival.caller.parent
+        dispatch = partial(self._dispatch_unless_refused, arrival, identity)
+        reply = None
+        parent.begin_nested()
+        try:
+            reply = await self._allowances.run_nested(
+                call, parent, identity.stated, dispatch
+            )
+            return reply
+        finally:
+            answered = reply is not None and reply.outcome is Outcome.ANSWER
+            parent.end_nested(answered, self._early.level(path_of(call.context)))
+
+    async def _dispatch_unless_refused(
+        self, arrival: _Arrival, identity: Identity, call: Call
+    ) -> Reply:
+        refused = self._refuse_early(call.context)
+        if refused is None:
+            return await self._dispatch(arrival, identity, call)
+        true = await self._true_refusal(arrival, identity, call, refused)
+        return true.with_retries(call.context.retries_left)
+
     async def _dispatch(
         self, arrival: _Arrival, identity: Identity, call: Call
     ) -> Reply:
@@ -237,6 +270,12 @@
             return soften(arrival.request, refusal)
         return known
 
+    def _refuse_early(self, context: CallContext) -> Reply | None:
+        """Refusal of a call that would be shed further on, else None."""
+        rank = rank_of(context.priority, context.team, context.request_id)
+        checked = self._early.check(path_of(context), rank)
+        return Reply.refused(checked.error) if checked.is_error() else None
+
 
 def _forwarded(request: HttpRequest) -> HttpRequest:
     headers = strip_private(end_to_end(request.headers))
--- a/damaskramp/node/execution.py
+++ b/damaskramp/node/execution.py
@@ -83,11 +83,16 @@
         if reply is None:
             reply = await self._containment.run(call, self._admitted)
         self._telemetry.executed(call.context, reply)
-        return reply.with_load(self._load())
-
-    def _load(self) -> Load:
+        return reply.with_load(self._load(call.context, reply))
+
+    def _load(self, context: CallContext, reply: Reply) -> Load:
+        """State of the backend server, with the tightest level of the chain."""
+        load = self._admission.load_for(context.team)
+        level = load.shed_level
+        if reply.load is not None:
+            level = min(level, reply.load.shed_level)
         leaving = self._lifecycle.value is Lifecycle.LEAVING
-        return replace(self._admission.load, leaving=leaving)
+        return replace(load, shed_level=level, leaving=leaving)
 
     def _check(self, context: CallContext) -> Reply | None:
         """Refusal that needs no look at the backend server."""
@@ -119,16 +124,21 @@
             return Reply.refused(admitted.error).with_retries(context.retries_left)
         permit = admitted.ok
         sample = None
+        token, running = self._contexts.issue(context, permit)
         try:
             started = self._timers.now
-            reply = await self._release(call)
-            overloaded = reply.outcome is not Outcome.ANSWER or reply.status == 503
-            sample = Sample(self._timers.now - started, overloaded)
-            return reply
+            reply = await self._release(call, token)
+            seconds = self._timers.now - started
+            failed = reply.outcome is not Outcome.ANSWER or reply.status == 503
+            overloaded = failed and not running.nested_failed
+            sample = Sample(seconds, overloaded, running.nested_seconds)
+            reply = reply.with_retries(running.retries_left)
+            return reply.with_load(Load(shed_level=running.shed_level))
         finally:
+            self._contexts.end(token)
             permit.release(sample)
 
-    async def _release(self, call: Call) -> Reply:
+    async def _release(self, call: Call, token: str) -> Reply:
         """Send the call to the backend server: from here on it may have run."""
         context = call.context
         if self._key_withdrawn(context):
@@ -139,18 +149,16 @@
             return Reply.not_run(Reason.DEADLINE_EXCEEDED)
         refusal = self._releases.begin(context)
         if refusal is not None:
-            return refusal.with_retries(context.retries_left)
+            return refusal
         ran = True
-        token, running = self._contexts.issue(context)
         try:
             request = _backend_request(call, token, remaining)
             work = self._exchange(context, request, remaining)
             reply = await self._containment.release(call, work)
             ran = reply.outcome is not Outcome.NOT_RUN
         finally:
-            self._contexts.end(token)
             self._releases.end(context, ran)
-        return reply.with_retries(running.retries_left)
+        return reply
 
     async def _exchange(
         self, context: CallContext, request: HttpRequest, remaining: float
--- a/damaskramp/node/tests/chain.py
+++ b/damaskramp/node/tests/chain.py
@@ -5,6 +5,7 @@
 import orjson
 from numpy.random import default_rng
 
+from damaskramp.admission import EarlyRefusal
 from damaskramp.balancing import RoundRobin
 from damaskramp.bundle import (
     BundleView,
@@ -12,7 +13,12 @@
     parse_bundle_source,
     sign_bundle,
 )
-from damaskramp.config import NodeSettings, QuarantineSettings, RetrySettings
+from damaskramp.config import (
+    AdmissionSettings,
+    NodeSettings,
+    QuarantineSettings,
+    RetrySettings,
+)
 from damaskramp.core import (
     HostId,
     Incarnation,
@@ -111,7 +117,7 @@
             for n in range(HOSTS)
         )
         self._members = Section("members", members)
-        self._contexts = [ContextTable() for _ in range(hops + 1)]
+        self._contexts = [ContextTable(self.timers) for _ in range(hops + 1)]
         # Entry k serves the calls that hop k - 1 makes.
         self.entries = [self._entry(table) for table in self._contexts]
 
@@ -148,6 +154,7 @@
             contexts,
             StaticSplit(self.timers, ZoneName("z1")),
             dispatcher,
+            EarlyRefusal(AdmissionSettings(), self.timers, default_rng(0)),
             allowances,
             telemetry,
             None,
--- a/damaskramp/node/tests/fake_fleet.py
+++ b/damaskramp/node/tests/fake_fleet.py
@@ -16,7 +16,7 @@
 import orjson
 from expression import Error, Ok, Result
 
-from damaskramp.admission import FixedAdmission, Refusal
+from damaskramp.admission import EarlyRefusal, FixedAdmission, Refusal
 from damaskramp.balancing import RoundRobin
 from damaskramp.bundle import (
     BundleView,
@@ -304,7 +304,7 @@
             timers, self.zone, self.host, self.incarnation, self.host.encode()
         )
         telemetry = Telemetry(Section("classes", ("all",)))
-        contexts = ContextTable()
+        contexts = ContextTable(timers)
         self.ledger = ExecutionLedger(timers, lambda: self.home.retention(), 10_000)
         backend = FakeBackend(self)
         quarantine = Quarantine(
@@ -369,6 +369,7 @@
             contexts,
             FakeLimiter(self.fleet),
             dispatcher,
+            EarlyRefusal(settings.admission, timers, np.random.default_rng(1)),
             allowances,
             telemetry,
             self.router,
