Every coordination part has a script that embeds it without daemons

Cause: the parts can be used alone, but nothing showed how. Ruled out: snippets in documents, which no test runs.

--- /dev/null
+++ b/examples/embedding/__init__.py
@@ -0,0 +1,4 @@
+"""Each coordination part by itself: no daemon, no socket, a clock of its own.
+
+Every script runs by itself, as ``python -m examples.embedding.dedup``.
+"""
--- /dev/null
+++ b/examples/embedding/quarantine.py
@@ -0,0 +1,48 @@
+"""Quarantine: a request that ended two backend servers is refused everywhere."""
+
+from damaskramp.config import QuarantineSettings
+from damaskramp.core import HostId, TeamId, VirtualTimers, ZoneName
+from damaskramp.membership import Broadcast, Item, Topic
+from damaskramp.quarantine import Quarantine, fingerprint
+
+
+class MemoryBroadcast(Broadcast):
+    """Hands each item to the other nodes at once."""
+
+    def __init__(self, own: HostId, nodes: list["MemoryBroadcast"]) -> None:
+        super().__init__()
+        self._own = own
+        self._nodes = nodes
+        nodes.append(self)
+
+    def announce(self, topic: Topic, key: str, version: int, payload: bytes) -> None:
+        """Deliver an item to all others."""
+        item = Item(topic, key, version, payload, self._own)
+        for node in self._nodes:
+            if node is not self:
+                node.deliver(item)
+
+
+def main() -> str:
+    """Let one request end the backend servers of two hosts; ask a third."""
+    timers = VirtualTimers()
+    settings = QuarantineSettings()
+    zone = ZoneName("perth-north")
+    nodes: list[MemoryBroadcast] = []
+    first, second, third = (
+        Quarantine(settings, timers, host, zone, MemoryBroadcast(host, nodes))
+        for host in (HostId("desk-1"), HostId("desk-2"), HostId("desk-3"))
+    )
+    item = fingerprint(TeamId("clubs"), "/desk", "POST", "/desk/a", b"poison")
+    standings = [third.standing(item)]
+    for node in (first, second):
+        timers.advance(1.0)
+        node.record_death([item])
+        standings.append(third.standing(item))
+    timers.advance(settings.quarantine_seconds + 1.0)
+    standings.append(third.standing(item))
+    return " > ".join(standing.value for standing in standings)
+
+
+if __name__ == "__main__":
+    print(main())
--- /dev/null
+++ b/examples/embedding/retries.py
@@ -0,0 +1,34 @@
+"""Retry budgets: attempts stay below first attempts times one plus the ratio."""
+
+from numpy.random import default_rng
+
+from damaskramp.config import RetrySettings
+from damaskramp.core import TeamId
+from damaskramp.retries import Backoff, RetryBudgets, RetryLoop, Step, Verdict
+
+REQUESTS = 1000
+RATIO = 0.1
+MOST_RETRIES = 2
+REMAINING_SECONDS = 5.0
+
+
+def main() -> str:
+    """Send requests whose every attempt fails; count the attempts."""
+    settings = RetrySettings()
+    budgets = RetryBudgets(settings)
+    backoff = Backoff(settings, default_rng(1))
+    team = TeamId("clubs")
+    attempts = 0
+    for _ in range(REQUESTS):
+        granted = budgets.grant(team, RATIO, MOST_RETRIES)
+        loop = RetryLoop(settings, backoff, granted)
+        step = Step.RETRY
+        while step is Step.RETRY:
+            attempts += 1
+            decision = loop.after(Verdict.RETRIABLE, loop.left, REMAINING_SECONDS)
+            step = decision.step
+    return f"{REQUESTS} requests, {attempts} attempts"
+
+
+if __name__ == "__main__":
+    print(main())
--- /dev/null
+++ b/examples/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the examples."""
