--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -33,6 +33,29 @@
 class TestStops(FleetTestCase):
     HOSTS = desk_and_boards(3)
 
+    async def _roll(self, callers: list[_Caller]) -> list[int]:
+        tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        codes = []
+        for number in (1, 2, 3):
+            host = f"board-{number}"
+            codes.append(await asyncio.to_thread(self.fleet.node(host).stop))
+            await asyncio.to_thread(self.fleet.start_node, host)
+            await asyncio.to_thread(self.fleet.wait_until_serving, [host])
+            await asyncio.sleep(1.0)
+        for caller in callers:
+            caller.stopped = True
+        await asyncio.gather(*tasks)
+        return codes
+
+    def test_rolling_stop_cuts_and_refuses_nothing(self):
+        address = self.fleet.http("desk-1")
+        callers = [_Caller(address, "/desk/x") for _ in range(4)]
+        callers += [_Caller(address, "/board/ballots") for _ in range(4)]
+        codes = self.run_loop(self._roll(callers))
+        self.assertEqual([0, 0, 0], codes)
+        told = {answer for caller in callers for answer in caller.answers}
+        self.assertEqual({"200"}, told)
+
     def test_connection_of_a_stopping_entry_node_is_closed_by_an_answer(self):
         async def talk() -> list[str]:
             caller = _Caller(self.fleet.http("board-1"), "/board/x")
