--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -28,12 +28,20 @@
 IDLE_SECONDS = 20.0
 SETTLE_SECONDS = 10.0
 IN_FORCE_SECONDS = 30.0
+MEMBERSHIP = """
+[membership]
+period_seconds = 1.0
+silence_seconds = 16.0
+"""
+"""The defaults: small fleets of tests probe more often."""
 
 
 def measure(size: int) -> tuple[object, ...]:
     """One row of the table."""
     hosts = [
-        HostSpec(f"board-{n}", f"z{1 + n % 2}", "board", external=True)
+        HostSpec(
+            f"board-{n}", f"z{1 + n % 2}", "board", settings=MEMBERSHIP, external=True
+        )
         for n in range(size)
     ]
     with (
--- a/damaskramp/config/settings.py
+++ b/damaskramp/config/settings.py
@@ -101,7 +101,7 @@
     address: Address
     bundle_name: Name = "bundle"
     watch_seconds: PositiveSeconds = 25.0
-    hosts_poll_seconds: PositiveSeconds = 2.0
+    hosts_poll_seconds: PositiveSeconds = 5.0
     retry_seconds: PositiveSeconds = 1.0
 
 
