Ownership keeps the counting members and their ranks

Cause: each question for an owner scored and sorted all members of the zone; quota and dedup ask several times a request. Ruled out: scores kept per host and thing (saves only part of the first question after a change of members, and takes a table of members times things); a cache emptied at each sign of life (they come all the time and change no rank). Conclusion: the cost of a question no longer grows with the zone, but for the first about a thing after a change of members.

--- a/damaskramp/ownership/activation.py
+++ b/damaskramp/ownership/activation.py
@@ -13,10 +13,10 @@
 import xxhash
 
 from damaskramp.core import HostId, Incarnation, TimerService
-from damaskramp.core.rendezvous import rendezvous_score
 from damaskramp.ownership.contact import NEVER, Contact
 from damaskramp.ownership.messages import Ack, Ask, OwnershipSettings, Sighting
 from damaskramp.ownership.ownership import Owner, Ownership
+from damaskramp.ownership.ranking import Ranking
 
 __all__ = ["AcknowledgedOwnership"]
 
@@ -43,6 +43,7 @@
         self._timers = timers
         self._own = own
         self._contacts: dict[HostId, Contact] = {}
+        self._ranking = Ranking(settings)
         self._renewal_subscribers: list[Callable[[Incarnation], None]] = []
         self._seen = timers.now
         self._leaving = False
@@ -78,12 +79,10 @@
         """Incarnations that count, by falling rank for `thing`."""
         self._observe()
         now = self._timers.now
-        silence = self._settings.silence_seconds
-        able = [c.as_owner() for c in self._contacts.values() if c.counts(now, silence)]
-        if self._active:
-            able.append(self._own)
-        able.sort(key=lambda o: (rendezvous_score(o.host, thing), o.host), reverse=True)
-        return tuple(able[:count])
+        if not self._ranking.holds(now):
+            own = self._own if self._active else None
+            self._ranking.take(self._contacts.values(), own, now)
+        return self._ranking.first(thing, count)
 
     def owns(self, thing: str) -> bool:
         """Whether this incarnation is active and ranks first for `thing`."""
@@ -129,6 +128,7 @@
         if ask.host == self._own.host:
             return None
         contact = self._touch(ask.host, ask.peer)
+        self._ranking.invalidate()
         if not contact.show(ask.incarnation):
             return None
         contact.peer = ask.peer
@@ -153,6 +153,7 @@
         if ack.acknowledged != self._own.incarnation:
             return
         contact = self._touch(ack.host, ack.peer)
+        self._ranking.invalidate()
         if not contact.show(ack.incarnation):
             return
         contact.heard = max(contact.heard, ack.asked_at)
@@ -175,6 +176,8 @@
         contact = self._contacts.get(host)
         if contact is None or incarnation < contact.incarnation:
             return
+        if contact.silent(self._timers.now, self._settings.silence_seconds):
+            self._ranking.invalidate()
         contact.heard = self._timers.now
         if incarnation == contact.incarnation:
             contact.fresh = self._timers.now
@@ -195,6 +198,7 @@
         if contact is not None and contact.incarnation == incarnation:
             retires_at = self._timers.now + self._settings.pause_seconds
             contact.retires_at = min(contact.retires_at, retires_at)
+            self._ranking.invalidate()
             contact.acknowledged = True
 
     def renew(self, above: Incarnation) -> None:
@@ -206,6 +210,7 @@
         """Own nothing from now on."""
         self._leaving = True
         self._active = False
+        self._ranking.invalidate()
 
     def tick(self) -> list[tuple[Contact, Ask]]:
         """Advance; the asks to send. To be called several times a pause limit."""
@@ -257,6 +262,7 @@
             contact.acknowledged = False
             contact.sponsored_at = NEVER
             contact.heard = now
+        self._ranking.invalidate()
         for callback in self._renewal_subscribers:
             callback(incarnation)
 
@@ -295,6 +301,7 @@
             return
         if self._has_sponsor() or self._may_activate_alone():
             self._active = True
+            self._ranking.invalidate()
             self._active_since = self._timers.now
 
     def _expire(self) -> None:
