Choosing a backend server looks up the states that take work once

Cause: `Member.takes_work` looked up two members of an `Enum` for each member at each choice; by cProfile it was the largest single part of `choose`. Ruled out: leaving the check to the member table, whose lists by service hold only such members: `choose` takes any sequence. Change: the two states are a constant of the module. No answer changes.

--- a/damaskramp/membership/table.py
+++ b/damaskramp/membership/table.py
@@ -20,6 +20,10 @@
     DEAD = "dead"
 
 
+# A constant, since looking up members of an `Enum` is slow and calls ask often.
+TAKING_WORK = (MemberState.LIVE, MemberState.SUSPECT)
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """A node as others see it.
@@ -44,7 +48,7 @@
     @property
     def takes_work(self) -> bool:
         """Whether new calls may be sent there."""
-        return self.state in (MemberState.LIVE, MemberState.SUSPECT)
+        return self.state in TAKING_WORK
 
 
 class MemberTable:
