--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -28,9 +28,16 @@
 BODY = b"x" * 1024
 CLIENTS = 8
 RATES = (107.0, 200.0, 400.0, 600.0, 800.0, 1000.0, 1200.0)
+MEMBERSHIP = """
+[membership]
+period_seconds = 1.0
+silence_seconds = 16.0
+"""
+"""The defaults: small fleets of tests probe more often."""
+
+HOSTS_POLL_SECONDS = 5.0
 HELD_RATIO = 0.98
 HELD_P99_SECONDS = 0.05
-CALLS_FOR_MEMORY = 100_000
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 MIB = 1024 * 1024
@@ -112,10 +119,10 @@
         await caller.run(TARGET_RATE, 2.0)
     await _added(fleet, ways)
     await _highest(ways["two nodes"])
-    await ways["one node"].run_closed(CALLS_FOR_MEMORY, CLIENTS)
+    await ways["one node"].run_closed(FLAGS.calls, CLIENTS)
     after = memory_mib(fleet.node("board-1").pid)
     print(f"\nmemory of a node: {rest:.0f} MiB at rest, {after:.0f} MiB after")
-    print(f"{CALLS_FOR_MEMORY} calls ({ways['one node'].failed} failed)")
+    print(f"{FLAGS.calls} calls ({ways['one node'].failed} failed)")
 
 
 async def _added(fleet: Fleet, ways: dict[str, PacedCaller]) -> None:
@@ -164,19 +171,20 @@
     del argv
     flags_of_backend = {"service_ms": 0, "slots": 256}
     hosts = [
-        HostSpec("desk-1", "z1", "desk", flags_of_backend),
-        HostSpec("board-1", "z2", "board", flags_of_backend),
+        HostSpec("desk-1", "z1", "desk", flags_of_backend, settings=MEMBERSHIP),
+        HostSpec("board-1", "z2", "board", flags_of_backend, settings=MEMBERSHIP),
     ]
     source = bundle().replace("rate = 1000.0", "rate = 1e6")
     source = source.replace("burst = 1000", "burst = 1000000")
     source = source.replace("slots = 8", "slots = 256")
     with (
         tempfile.TemporaryDirectory() as directory,
-        Fleet(Path(directory), hosts, source) as fleet,
+        Fleet(Path(directory), hosts, source, 0.0, HOSTS_POLL_SECONDS) as fleet,
     ):
         asyncio.run(measure(fleet))
 
 
 if __name__ == "__main__":
     flags.DEFINE_float("seconds", 15.0, "length of each measurement")
+    flags.DEFINE_integer("calls", 100_000, "calls before memory is read again")
     app.run(main, argv=sys.argv)
--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -17,7 +17,12 @@
 import orjson
 from absl import app, flags
 
-from benchmarks.call_overhead import cpu_seconds, memory_mib
+from benchmarks.call_overhead import (
+    HOSTS_POLL_SECONDS,
+    MEMBERSHIP,
+    cpu_seconds,
+    memory_mib,
+)
 from damaskramp.operations import format_table
 from examples.fleet import Fleet, HostSpec
 from tests.fleets import bundle
@@ -28,13 +33,6 @@
 IDLE_SECONDS = 20.0
 SETTLE_SECONDS = 10.0
 IN_FORCE_SECONDS = 30.0
-MEMBERSHIP = """
-[membership]
-period_seconds = 1.0
-silence_seconds = 16.0
-"""
-HOSTS_POLL_SECONDS = 5.0
-"""The defaults: small fleets of tests probe more often."""
 
 
 def measure(size: int) -> tuple[object, ...]:
--- a/damaskramp/cli/node.py
+++ b/damaskramp/cli/node.py
@@ -1,7 +1,6 @@
 """``damaskramp-node``: the process on each backend server host."""
 
 import asyncio
-import gc
 import logging
 import signal
 import sys
@@ -31,9 +30,6 @@
 flags.DEFINE_string("settings", "", "TOML file with the settings", flag_values=FLAGS)
 flags.DEFINE_bool("check", False, "check the settings and exit", flag_values=FLAGS)
 
-COLLECTOR_THRESHOLDS = (10_000, 20, 50)
-"""Allocations before a young collection, and collections before an older one."""
-
 LOGGER = logging.getLogger(__name__)
 
 
@@ -65,7 +61,6 @@
     except OSError as error:
         print(f"{Place(path, 'listen')}: {error}", file=sys.stderr)
         return ExitCode.FAILED
-    _calm_collector()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -74,12 +69,5 @@
     return ExitCode.OK if await node.stop() else ExitCode.FAILED
 
 
-def _calm_collector() -> None:
-    """Keep the garbage collector from walking what lives as long as the process."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*COLLECTOR_THRESHOLDS)
-
-
 if __name__ == "__main__":
     main()
