--- a/damaskramp/http/server.py
+++ b/damaskramp/http/server.py
@@ -112,6 +112,11 @@
         """Connections open now."""
         return len(self._connections)
 
+    @property
+    def port(self) -> int:
+        """Port that it listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
     @property
     def full(self) -> bool:
         """Whether there are more connections than allowed."""
