Read-through: one list of gRPC failures, one way to the nodes read

Cause: reading the whole change as a newcomer: the tuple of gRPC failures stood three times; status and burn each turned a bad target into an exit code; the digest of a key lived in the node, so the bundle program loaded the whole daemon to print one.

Change: node.peers.FAILURES is used everywhere; cli.targets.read_targets; bundle.key_digest. No behaviour, bound or assertion changes.

Conclusion: constructors that only store still look alike, and stay.

--- a/damaskramp/bundle/__init__.py
+++ b/damaskramp/bundle/__init__.py
@@ -1,6 +1,7 @@
 """Versioned, signed configuration bundles."""
 
 from damaskramp.bundle.diff import Change, diff_bundles
+from damaskramp.bundle.keys import key_digest
 from damaskramp.bundle.model import (
     Bundle,
     BundleHead,
@@ -38,6 +39,7 @@
     "SigningKey",
     "Team",
     "diff_bundles",
+    "key_digest",
     "load_bundle_source",
     "parse_bundle_source",
     "sign_bundle",
--- /dev/null
+++ b/damaskramp/bundle/keys.py
@@ -0,0 +1,12 @@
+"""How a bundle lists callers' keys."""
+
+import hashlib
+
+from damaskramp.core import KeyDigest
+
+__all__ = ["key_digest"]
+
+
+def key_digest(key: bytes) -> KeyDigest:
+    """Digest under which a bundle lists a key."""
+    return KeyDigest(hashlib.sha256(key).hexdigest())
--- a/damaskramp/cli/bundle.py
+++ b/damaskramp/cli/bundle.py
@@ -13,13 +13,13 @@
     Bundle,
     SigningKey,
     diff_bundles,
+    key_digest,
     load_bundle_source,
     sign_bundle,
     verify_bundle,
 )
 from damaskramp.cli.common import ExitCode, fail, run_program
 from damaskramp.core import Findings, Place
-from damaskramp.node.callers import key_digest
 
 __all__ = ["main"]
 
--- a/damaskramp/cli/burn.py
+++ b/damaskramp/cli/burn.py
@@ -7,8 +7,8 @@
 from pydantic import TypeAdapter, ValidationError
 
 from damaskramp.cli.common import ExitCode, fail, run_program
-from damaskramp.cli.targets import define_target_flags, find_targets
-from damaskramp.operations import FleetReader, NodeAnswer
+from damaskramp.cli.targets import define_target_flags, read_targets
+from damaskramp.operations import NodeAnswer
 from damaskramp.slo import compute_burn
 from damaskramp.slo.burn import Goal, NodeWindows
 from damaskramp.slo.report import to_json, to_page, to_table
@@ -48,13 +48,10 @@
 
 
 async def _report() -> int:
-    reader = FleetReader(FLAGS.timeout)
-    targets = await find_targets(FLAGS, reader)
-    if targets.is_error():
-        message = f"damaskramp-burn: {targets.error}"
-        unreachable = targets.error.startswith("platform")
-        return fail(message, ExitCode.UNREACHABLE if unreachable else ExitCode.USAGE)
-    answers = await reader.read(targets.ok, "/slo")
+    found = await read_targets("damaskramp-burn", FLAGS, "/slo")
+    if found.is_error():
+        return found.error
+    answers = found.ok
     read = [answer for answer in answers if answer.document is not None]
     try:
         goals, windows = _parse(read)
--- a/damaskramp/cli/status.py
+++ b/damaskramp/cli/status.py
@@ -8,8 +8,8 @@
 from absl import flags
 
 from damaskramp.cli.common import ExitCode, fail, run_program
-from damaskramp.cli.targets import define_target_flags, find_targets
-from damaskramp.operations import FleetReader, NodeAnswer, format_table
+from damaskramp.cli.targets import define_target_flags, read_targets
+from damaskramp.operations import NodeAnswer, format_table
 
 __all__ = ["main"]
 
@@ -43,13 +43,10 @@
 
 
 async def _show() -> int:
-    reader = FleetReader(FLAGS.timeout)
-    targets = await find_targets(FLAGS, reader)
-    if targets.is_error():
-        message = f"damaskramp-status: {targets.error}"
-        unreachable = targets.error.startswith("platform")
-        return fail(message, ExitCode.UNREACHABLE if unreachable else ExitCode.USAGE)
-    answers = await reader.read(targets.ok, "/status")
+    read = await read_targets("damaskramp-status", FLAGS, "/status")
+    if read.is_error():
+        return read.error
+    answers = read.ok
     print(_json(answers) if FLAGS.json else _text(answers))
     missing = any(answer.document is None for answer in answers)
     return ExitCode.UNREACHABLE if missing else ExitCode.OK
--- a/damaskramp/cli/targets.py
+++ b/damaskramp/cli/targets.py
@@ -5,9 +5,10 @@
 from absl import flags
 from expression import Error, Ok, Result
 
-from damaskramp.operations import FleetReader, Target
+from damaskramp.cli.common import ExitCode, fail
+from damaskramp.operations import FleetReader, NodeAnswer, Target
 
-__all__ = ["define_target_flags", "find_targets"]
+__all__ = ["define_target_flags", "read_targets"]
 
 ADDRESS = re.compile(r"^[\[\]0-9A-Fa-f.:]+:[0-9]{1,5}$")
 
@@ -28,7 +29,27 @@
     flags.DEFINE_bool("json", False, "write JSON, not a table", flag_values=values)
 
 
-async def find_targets(
+async def read_targets(
+    program: str, values: flags.FlagValues, path: str
+) -> Result[list[NodeAnswer], int]:
+    """Read `path` of the nodes that the flags name.
+
+    Returns
+    -------
+    Result
+        An answer for each node, or the exit code once the problem is printed.
+    """
+    reader = FleetReader(values.timeout)
+    targets = await _find_targets(values, reader)
+    if targets.is_ok():
+        return Ok(await reader.read(targets.ok, path))
+    problem = targets.error
+    unreachable = problem.startswith("platform")
+    code = ExitCode.UNREACHABLE if unreachable else ExitCode.USAGE
+    return Error(fail(f"{program}: {problem}", code))
+
+
+async def _find_targets(
     values: flags.FlagValues, reader: FleetReader
 ) -> Result[list[Target], str]:
     """Nodes that the flags name."""
--- a/damaskramp/node/bundle_exchange.py
+++ b/damaskramp/node/bundle_exchange.py
@@ -2,26 +2,17 @@
 
 import asyncio
 
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Stream
 
 from damaskramp.bundle import SignedBundle
 from damaskramp.core import BundleVersion
 from damaskramp.distribution import HeldSections, Parcel, unpack_parcel
-from damaskramp.node.peers import PeerPool
+from damaskramp.node.peers import FAILURES, PeerPool
 from damaskramp.wire.distribution_grpc import DistributionBase, DistributionStub
 from damaskramp.wire.distribution_pb2 import FetchReply, FetchRequest, Section
 
 __all__ = ["BundleClient", "BundleService", "HeldBundle"]
 
-FAILURES = (
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    OSError,
-    ValueError,
-    KeyError,
-)
 ANSWER_SECONDS = 1.0
 LONGEST_WAIT_SECONDS = 30.0
 
@@ -117,7 +108,7 @@
         try:
             reply = await stub.Fetch(request, timeout=wait + ANSWER_SECONDS)
             return _signed(reply, held)
-        except (*FAILURES, TimeoutError) as error:
+        except (*FAILURES, TimeoutError, ValueError, KeyError) as error:
             raise ConnectionError(str(error)) from error
 
 
--- a/damaskramp/node/callers.py
+++ b/damaskramp/node/callers.py
@@ -1,11 +1,10 @@
 """Who a request comes from: a key, a context token, or nobody."""
 
-import hashlib
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
-from damaskramp.bundle import BundleView, Route
+from damaskramp.bundle import BundleView, Route, key_digest
 from damaskramp.core import KeyDigest, Reason, TeamId
 from damaskramp.http import HttpRequest
 from damaskramp.node.calls import Reply
@@ -17,7 +16,7 @@
     words_outside_key_fields,
 )
 
-__all__ = ["Caller", "identify", "key_digest"]
+__all__ = ["Caller", "identify"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,11 +36,6 @@
     parent: RunningContext | None = None
 
 
-def key_digest(key: bytes) -> KeyDigest:
-    """Digest under which a bundle lists a key."""
-    return KeyDigest(hashlib.sha256(key).hexdigest())
-
-
 def identify(
     request: HttpRequest, route: Route, view: BundleView, contexts: ContextTable
 ) -> Result[Caller, Reply]:
--- a/damaskramp/node/identities.py
+++ b/damaskramp/node/identities.py
@@ -4,11 +4,11 @@
 
 from expression import Error, Ok, Result
 
-from damaskramp.bundle import BundleView
+from damaskramp.bundle import BundleView, key_digest
 from damaskramp.core import Outcome, Reason, RequestId, TeamId
 from damaskramp.dedup import IdMint, IssuedId, OwnId, parse_request_id
 from damaskramp.http import HttpRequest, HttpResponse
-from damaskramp.node.callers import Caller, key_digest
+from damaskramp.node.callers import Caller
 from damaskramp.node.calls import Reply
 from damaskramp.node.fields import (
     FIRST_ATTEMPT,
--- a/damaskramp/node/quota_service.py
+++ b/damaskramp/node/quota_service.py
@@ -5,7 +5,6 @@
 from dataclasses import asdict
 
 import numpy as np
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Stream
 
 from damaskramp.bundle import BundleView
@@ -19,7 +18,7 @@
     ZoneName,
 )
 from damaskramp.membership import MemberTable
-from damaskramp.node.peers import PeerPool
+from damaskramp.node.peers import FAILURES, PeerPool
 from damaskramp.node.quota_codec import (
     decode_answer,
     decode_ask,
@@ -49,13 +48,6 @@
 
 EXCHANGE_SECONDS = 1.0
 HANDOVER_SECONDS = 0.5
-FAILURES = (
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    OSError,
-    TimeoutError,
-)
 
 
 class QuotaService(QuotaBase):
@@ -106,14 +98,14 @@
         stub = QuotaStub(self._pool.channel(peer))
         try:
             await stub.HandOver(encode_handover(handover), timeout=HANDOVER_SECONDS)
-        except FAILURES:
+        except (*FAILURES, TimeoutError):
             self.lost += 1
 
     async def _exchange(self, peer: str, ask: Ask) -> None:
         stub = QuotaStub(self._pool.channel(peer))
         try:
             reply = await stub.Exchange(encode_ask(ask), timeout=EXCHANGE_SECONDS)
-        except FAILURES:
+        except (*FAILURES, TimeoutError):
             self.lost += 1
             return
         self.receive(ask, decode_answer(reply))
