Root admission by outcomes, reachability of hosts, retry windows, later hand-over

Change: OutcomeLimit bounds new requests by how they end; lost hosts get calls again once a probe reached them; repeats of a 500 only where one server stands out; the budget counts the window before too; a stopping host works on for two seconds.

--- /dev/null
+++ b/damaskramp/dispatch/outcome_limit.py
@@ -0,0 +1,103 @@
+"""How many new requests of one priority a backend server may hold at once.
+
+Load this answers: a service deep in the call graph that is slow or short of room. The
+services above it have free slots all the while, and would go on to start requests that
+fail or come late because of calls further down. Here the outcomes of the requests
+themselves set the bound: it falls while too many end badly, and rises again while they
+end well and it is reached. Less important requests give way at a smaller share of bad
+ends, so that the important ones keep the room below.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["OutcomeLimit", "OutcomeLimitSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeLimitSettings:
+    """When the bound moves.
+
+    Attributes
+    ----------
+    urgent_bad_share, bad_share : float
+        Share of bad ends above which the bound falls, for priority 0 and for others.
+        Servers fail under one in a hundred requests by themselves.
+    fall, rise : float
+        Factors of one step down and of one step up. Up is slower than down, yet a
+        bound of 2 reaches 200 within two seconds.
+    least : int
+        Smallest bound: enough to notice that things are well again.
+    step_seconds, step_ends : float, int
+        A step is taken after this time, once so many requests have ended.
+    """
+
+    urgent_bad_share: float = 0.3
+    bad_share: float = 0.12
+    fall: float = 0.75
+    rise: float = 1.3
+    least: int = 2
+    step_seconds: float = 0.1
+    step_ends: int = 8
+
+
+class OutcomeLimit:
+    """Bound for the requests of one priority at one server.
+
+    Examples
+    --------
+    >>> limit = OutcomeLimit(OutcomeLimitSettings(), priority=2, ceiling=100, now=0.0)
+    >>> for _ in range(10):
+    ...     limit.ended(bad=True, held=40, now=0.2)
+    >>> limit.value
+    30
+    """
+
+    def __init__(
+        self, settings: OutcomeLimitSettings, priority: int, ceiling: int, now: float
+    ) -> None:
+        self._settings = settings
+        urgent = priority == 0
+        self._bad_share = settings.urgent_bad_share if urgent else settings.bad_share
+        self._ceiling = ceiling
+        self._value = float(ceiling)
+        self._since = now
+        self._ends = 0
+        self._bad = 0
+        self._reached = False
+
+    @property
+    def value(self) -> int:
+        """Most requests held."""
+        return int(self._value)
+
+    def admits(self, held: int) -> bool:
+        """Whether one more request may be held."""
+        if held < self.value:
+            return True
+        self._reached = True
+        return False
+
+    def ended(self, bad: bool, held: int, now: float) -> None:
+        """Note the end of a request.
+
+        Parameters
+        ----------
+        bad : bool
+            Whether it failed or came after its latency target.
+        held : int
+            Requests held at the time, this one included.
+        """
+        self._ends += 1
+        self._bad += bad
+        settings = self._settings
+        long_enough = now - self._since >= settings.step_seconds
+        if not long_enough or self._ends < settings.step_ends:
+            return
+        if self._bad > self._bad_share * self._ends:
+            held = min(self._value, max(held, settings.least))
+            self._value = max(float(settings.least), held * settings.fall)
+        elif self._reached:
+            self._value = min(float(self._ceiling), self._value * settings.rise + 1)
+        self._since = now
+        self._ends = self._bad = 0
+        self._reached = False
--- a/damaskramp/dispatch/retry_budget.py
+++ b/damaskramp/dispatch/retry_budget.py
@@ -5,13 +5,16 @@
 no message is needed and a cut changes nothing.
 """
 
-from collections import deque
 from dataclasses import dataclass
 
 from damaskramp.core.ids import ServiceName
 
 __all__ = ["RetryBudget", "RetryBudgetSettings"]
 
+PARTS = 20
+"""Parts that a window is counted in; one part more than the window is looked at, so
+that the coarse count never allows more than an exact one."""
+
 
 @dataclass(frozen=True, slots=True)
 class RetryBudgetSettings:
@@ -34,18 +37,34 @@
     ratio: float = 0.2
     window: float = 10.0
     allowance: float = 48.0
-    used_ratio: float = 0.4
+    used_ratio: float = 0.55
     used_allowance: float = 0.5
 
 
+class _Counts:
+    """Events in parts of a window."""
+
+    def __init__(self) -> None:
+        self._parts: dict[int, int] = {}
+
+    def add(self, part: int) -> None:
+        self._parts[part] = self._parts.get(part, 0) + 1
+        if len(self._parts) > 4 * PARTS:
+            for old in [key for key in self._parts if key < part - 3 * PARTS]:
+                del self._parts[old]
+
+    def sum(self, first: int, last: int) -> int:
+        return sum(n for key, n in self._parts.items() if first <= key <= last)
+
+
 class RetryBudget:
-    """Requests and repeats of one host in the current window, by service."""
+    """Requests and repeats of one host, by service."""
 
     def __init__(self, settings: RetryBudgetSettings) -> None:
         self._settings = settings
         self._hosts = 1
-        self._requests: dict[ServiceName, deque[float]] = {}
-        self._repeats: dict[ServiceName, deque[float]] = {}
+        self._requests: dict[ServiceName, _Counts] = {}
+        self._repeats: dict[ServiceName, _Counts] = {}
 
     def resize(self, hosts: int) -> None:
         """Set the number of hosts that share the allowance."""
@@ -53,25 +72,31 @@
 
     def request(self, service: ServiceName, now: float) -> None:
         """Count a request for a service."""
-        times = self._requests.setdefault(service, deque())
-        times.append(now)
-        self._forget(times, now)
+        self._counts(self._requests, service).add(self._part(now))
 
     def spend(self, service: ServiceName, now: float) -> bool:
         """Spend one repeat; False where the budget has none left."""
-        repeats = self._repeats.setdefault(service, deque())
-        self._forget(repeats, now)
-        requests = self._requests.setdefault(service, deque())
-        self._forget(requests, now)
         settings = self._settings
-        allowed = settings.used_ratio * settings.ratio * len(requests)
+        part = self._part(now)
+        requests = self._counts(self._requests, service)
+        # Demand may fall while a service fails; what it was a window ago counts too.
+        recent = requests.sum(part - PARTS + 1, part)
+        before = requests.sum(part - 2 * PARTS + 1, part - PARTS)
+        allowed = settings.used_ratio * settings.ratio * max(recent, before)
         allowed += settings.used_allowance * settings.allowance / self._hosts
-        if len(repeats) + 1 > allowed:
+        repeats = self._counts(self._repeats, service)
+        if repeats.sum(part - PARTS, part) + 1 > allowed:
             return False
-        repeats.append(now)
+        repeats.add(part)
         return True
 
-    def _forget(self, times: deque[float], now: float) -> None:
-        oldest = now - self._settings.window
-        while times and times[0] < oldest:
-            times.popleft()
+    def _part(self, now: float) -> int:
+        return int(now * PARTS / self._settings.window)
+
+    def _counts(
+        self, table: dict[ServiceName, _Counts], service: ServiceName
+    ) -> _Counts:
+        counts = table.get(service)
+        if counts is None:
+            counts = table[service] = _Counts()
+        return counts
--- a/damaskramp/dispatch/selection.py
+++ b/damaskramp/dispatch/selection.py
@@ -165,6 +165,17 @@
             record.closed_rank = rank
         record.closed_until = now + self._settings.closed_seconds
 
+    def stands_out(
+        self, server: BackendServer, servers: Collection[BackendServer]
+    ) -> bool:
+        """Whether a server fails more often than another of its service.
+
+        Where all fail alike the cause lies elsewhere, and a second try would fail too.
+        """
+        own = self._record(server).failures
+        others = [self._record(s).failures for s in servers if s.id != server.id]
+        return bool(others) and own > 2 * min(others) + self._settings.smoothing / 2
+
     def shun(self, server: BackendServer, seconds: float, now: float) -> None:
         """Avoid a server that can't be reached."""
         self._record(server).shunned_until = now + seconds
--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -14,10 +14,12 @@
 
 import itertools
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from heapq import heappop, heappush
 
+from damaskramp.dispatch.outcome_limit import OutcomeLimit, OutcomeLimitSettings
+
 __all__ = ["Load", "SlotQueue", "SlotSettings", "Verdict", "Work"]
 
 
@@ -39,6 +41,8 @@
         be worked off within any latency target.
     smoothing : float
         Weight of the newest service time in its moving average: the last dozen count.
+    outcome_limit : OutcomeLimitSettings
+        Bounds on new requests by how they end.
     """
 
     full_share: float = 0.95
@@ -46,6 +50,7 @@
     entry_weight: float = 1.0
     queue_slots: float = 4.0
     smoothing: float = 0.08
+    outcome_limit: OutcomeLimitSettings = field(default_factory=OutcomeLimitSettings)
 
 
 class Verdict(Enum):
@@ -130,6 +135,8 @@
         self._calls = _Lane(settings.call_weight)
         self._entries = _Lane(settings.entry_weight)
         self._limit = 1
+        self._held: dict[int, int] = {}
+        self._bounds: dict[int, OutcomeLimit] = {}
         self.resize(slots)
 
     @property
@@ -155,7 +162,10 @@
     def resize(self, slots: int) -> None:
         """Set the server's slots."""
         below_full = int(slots * self._settings.full_share - 1e-9)
-        self._limit = max(1, below_full)
+        limit = max(1, below_full)
+        if limit != self._limit:
+            self._limit = limit
+            self._bounds.clear()
 
     def service_time(self, kind: str) -> float:
         """Mean time that requests of a kind run, in seconds."""
@@ -171,7 +181,12 @@
     def offer(self, work: Work, now: float) -> Verdict:
         """Decide on a request that has arrived."""
         work.enqueued = now
+        if not work.is_call:
+            held = self._held.get(work.priority, 0)
+            if not self._bound(work.priority, now).admits(held):
+                return Verdict.REFUSE
         if self._running < self._limit and not self._waiting:
+            self._hold(work, 1)
             self._start(work, now)
             return Verdict.RUN
         if self._waiting >= self._settings.queue_slots * self._limit:
@@ -186,16 +201,28 @@
         heappush(lane.heap, entry)
         lane.cost += self.service_time(work.kind)
         work.state = "waiting"
+        self._hold(work, 1)
         self._waiting += 1
         return Verdict.WAIT
 
-    def finish(self, work: Work, now: float, sample: bool = True) -> None:
-        """Note that a request has ended; `sample` if it ran to its end."""
+    def finish(self, work: Work, now: float, good: bool | None = None) -> None:
+        """Note that a request has ended.
+
+        Parameters
+        ----------
+        good : bool or None
+            Whether the server answered it well; None where it did not answer.
+        """
         if work.state != "running":
             return
         work.state = "done"
+        if not work.is_call and good is not None:
+            held = self._held.get(work.priority, 0)
+            bad = not good or now > work.target
+            self._bound(work.priority, now).ended(bad, held, now)
+        self._hold(work, -1)
         self._running -= 1
-        if sample:
+        if good is not None:
             weight = self._settings.smoothing
             took = now - work.started
             mean = self._times.get(work.kind, took)
@@ -205,9 +232,10 @@
     def cancel(self, work: Work, now: float) -> None:
         """Take back a request that waits or runs."""
         if work.state == "waiting":
+            self._hold(work, -1)
             self._leave(work)
         else:
-            self.finish(work, now, sample=False)
+            self.finish(work, now)
 
     def next_runs(self, now: float) -> Iterator[Work]:
         """Start waiting requests while there are free slots."""
@@ -228,6 +256,7 @@
                 if now + self.service_time(work.kind) > self._latest_end(work):
                     late.append(work)
         for work in late:
+            self._hold(work, -1)
             self._leave(work)
         return late
 
@@ -238,6 +267,20 @@
             return work.deadline
         return min(work.deadline, max(work.target, work.enqueued))
 
+    def _hold(self, work: Work, change: int) -> None:
+        if not work.is_call:
+            held = self._held.get(work.priority, 0)
+            self._held[work.priority] = held + change
+
+    def _bound(self, priority: int, now: float) -> OutcomeLimit:
+        bound = self._bounds.get(priority)
+        if bound is None:
+            ceiling = int(self._limit * (1 + self._settings.queue_slots))
+            settings = self._settings.outcome_limit
+            bound = OutcomeLimit(settings, priority, ceiling, now)
+            self._bounds[priority] = bound
+        return bound
+
     def _lane(self, work: Work) -> _Lane:
         return self._calls if work.is_call else self._entries
 
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -148,9 +148,9 @@
         for work in self._queue.next_runs(self._clock()):
             work.run.start()
 
-    def _ended(self, run: "_Run", sample: bool) -> None:
+    def _ended(self, run: "_Run", good: bool | None) -> None:
         self._runs.discard(run)
-        self._queue.finish(run.work, self._clock(), sample)
+        self._queue.finish(run.work, self._clock(), good)
         self._start_next()
 
     def _note_break(self, call: Call) -> None:
@@ -235,7 +235,7 @@
         reply, self._reply = self._reply, None
         executor = self._executor
         executor._counters.add("calls_refused", reason=reason.value)
-        executor._ended(self, sample=False)
+        executor._ended(self, good=None)
         if reply is not None:
             reply.refused(reason, wait, arrived, executor.load)
 
@@ -248,7 +248,7 @@
             self.refuse(Reason.OVERLOADED, wait, True)
             return
         reply, self._reply = self._reply, None
-        executor._ended(self, sample=True)
+        executor._ended(self, good=answer.status < 500)
         if call.fingerprint:
             executor._beliefs.suspects.clear(call.fingerprint)
         if reply is None:
@@ -272,7 +272,7 @@
         if failure is ExchangeFailure.RESET:
             executor._note_break(self._call)
         reply, self._reply = self._reply, None
-        executor._ended(self, sample=False)
+        executor._ended(self, good=False)
         if reply is not None:
             reply.failed(Reason.ANSWER_LOST, executor.load)
 
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -235,7 +235,7 @@
         forwarder = self._forwarder
         now = forwarder.clock()
         listed = forwarder.beliefs.directory.of_service(self._service)
-        servers = forwarder.peers.staying(listed)
+        servers = forwarder.peers.usable(listed)
         rank = self._rank
         server = forwarder.selector.choose(servers, self._excluded, rank, now)
         if server is None:
@@ -278,10 +278,12 @@
 
     def answered(self, status: int, head: bytes, body: bytes, load: Load) -> None:
         """Bring the answer back, or try again where that may help."""
+        server = self._server
         if not self._over(load, failed=status >= 500):
             return
         self._arrivals += 1
-        if status in (500, 502, 503) and self._may_repeat():
+        repeatable = status in (500, 502, 503) and self._fails_alone(server)
+        if repeatable and self._may_repeat():
             self._send()
             return
         self._end()
@@ -306,7 +308,7 @@
         if reason is Reason.QUARANTINED:
             self._refuse(reason, 0.0)
             return
-        if reason is Reason.OVERLOADED:
+        if reason is Reason.OVERLOADED and not arrived:
             forwarder.selector.refused(server, self._rank, now)
         self._excluded.add(server.id)
         if arrived:
@@ -346,6 +348,10 @@
         self._excluded.add(server.id)
         return True
 
+    def _fails_alone(self, server: BackendServer) -> bool:
+        servers = self._forwarder.beliefs.directory.of_service(self._service)
+        return self._forwarder.selector.stands_out(server, servers)
+
     def _may_repeat(self) -> bool:
         if not self._entry.route.idempotent:
             return False
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -68,6 +68,10 @@
 """Time after the order to stop in which callers may still come: readiness is asked once
 a second and two misses count."""
 
+WORK_ON_SECONDS = 2.0
+"""Time after the order to stop in which the backend server still gets calls; those that
+run then have the rest of the grace time."""
+
 STOP_MARGIN = 0.5
 """Seconds of the grace time that are kept back."""
 
@@ -195,11 +199,12 @@
         began = self._timers.now
         last = began + self._settings.grace_seconds - STOP_MARGIN
         self._stopping = True
+        LOGGER.info("node is stopping", extra={"open": self._listener.unanswered})
+        # The backend server runs on; its slots are missed as soon as it gets no calls.
+        await self._timers.sleep(min(WORK_ON_SECONDS, self._settings.grace_seconds / 2))
         self._executor.leaving = True
         self._peers.announce()
-        LOGGER.info("node is stopping", extra={"open": self._listener.unanswered})
-        while self._timers.now < min(began + LINGER_SECONDS, last):
-            await self._timers.sleep(0.05)
+        await self._timers.sleep(min(began + LINGER_SECONDS, last) - self._timers.now)
         self._caller_server.close()
         self._listener.close_idle()
         while self._timers.now < last and self._open_work():
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -63,6 +63,7 @@
         self._links: dict[str, PeerLink] = {}
         self._broken: dict[str, float] = {}
         self._leaving: dict[str, float] = {}
+        self._unreachable: set[str] = set()
         self._introduced: set[str] = set()
         self.leaving = False
 
@@ -88,8 +89,7 @@
         """Hosts that can be reached, those of the own zone first."""
         zones = dict(self._beliefs.directory.hosts())
         own = self._beliefs.zone
-        now = self._clock()
-        reachable = [host for host in hosts if now >= self._broken.get(host, 0.0)]
+        reachable = [host for host in hosts if host not in self._unreachable]
         self._random.shuffle(reachable)
         return sorted(reachable, key=lambda host: zones.get(host) != own)
 
@@ -98,6 +98,7 @@
         for link in list(self._links.values()):
             if link.check():
                 self._ping(link)
+        self._probe_unreachable()
         hosts = {host for host, _ in self._beliefs.directory.hosts()}
         hosts |= self._introduced
         hosts.discard(self._beliefs.host)
@@ -152,14 +153,18 @@
             self.leaving,
         )
 
-    def staying(self, servers: list[BackendServer]) -> list[BackendServer]:
-        """Those backend servers whose nodes have not told that they are leaving."""
-        if not self._leaving:
+    def usable(self, servers: list[BackendServer]) -> list[BackendServer]:
+        """Those backend servers whose nodes can be reached and are not leaving."""
+        if not self._leaving and not self._unreachable:
             return servers
         now = self._clock()
         for host in [host for host, until in self._leaving.items() if until < now]:
             del self._leaving[host]
-        return [server for server in servers if server.host not in self._leaving]
+        return [
+            server
+            for server in servers
+            if server.host not in self._leaving and server.host not in self._unreachable
+        ]
 
     def _pong(self, host: str, message: list) -> None:
         (
@@ -195,6 +200,13 @@
             )
         beliefs.suspects.note((Death(*death) for death in deaths), self._clock())
 
+    def _probe_unreachable(self) -> None:
+        """Try to reach the hosts that were lost; calls go there once that succeeds."""
+        for host in list(self._unreachable):
+            link = self._link(host)
+            if link is not None and link.state is LinkState.UP:
+                self._unreachable.discard(host)
+
     def _note_peer(self, host: str, leaving: bool) -> None:
         self._introduced.add(host)
         if leaving:
@@ -228,9 +240,11 @@
     def _lost(self, host: str) -> None:
         self._links.pop(host, None)
         self._broken[host] = self._clock() + RETRY_SECONDS
+        self._unreachable.add(host)
         known = {name for name, _ in self._beliefs.directory.hosts()}
         if host not in known:
             self._introduced.discard(host)
+            self._unreachable.discard(host)
 
 
 def _wire(server: BackendServer) -> tuple:
