A caller that has sent too much can read its answer

Cause: a refused connection was closed while bytes of its request waited unread; the kernel then resets it, and the reset discards an answer that the caller has not read. Change: the end of our side follows the answer, what still arrives is dropped for a second, then the connection closes; the relay's callers get the same. Test: fails before (connection reset), passes after. The bounds test now waits until the server has closed each connection by itself, without the caller's close.

--- a/damaskramp/http/__init__.py
+++ b/damaskramp/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 by h11: a server for callers and a client for backend servers."""
 
 from damaskramp.http.client import HttpClient, TransportError, TransportErrorKind
+from damaskramp.http.closing import close_lingering
 from damaskramp.http.messages import (
     BrokenAnswerError,
     Headers,
@@ -21,5 +22,6 @@
     "HttpServerSettings",
     "TransportError",
     "TransportErrorKind",
+    "close_lingering",
     "split_target",
 ]
--- a/damaskramp/http/server.py
+++ b/damaskramp/http/server.py
@@ -15,6 +15,7 @@
 
 import h11
 
+from damaskramp.http.closing import close_lingering
 from damaskramp.http.messages import (
     BODILESS_STATUSES,
     BrokenAnswerError,
@@ -177,6 +178,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._head: h11.Request | None = None
         self._body = bytearray()
+        self._refused = False
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -205,7 +207,7 @@
         self._writable.set()
 
     def data_received(self, data: bytes) -> None:
-        if self._transport.is_closing():
+        if self._transport.is_closing() or self._refused:
             return
         if self._h11.our_state is h11.ERROR:
             return
@@ -353,7 +355,8 @@
             data += self._h11.send(h11.Data(data=response.body))
             data += self._h11.send(h11.EndOfMessage())
             self._transport.write(data)
-        self._transport.close()
+        self._refused = True
+        close_lingering(self._transport)
 
 
 def _head_fault(head: h11.Request, most_bytes: int) -> tuple[int, str] | None:
--- a/damaskramp/http/tests/test_server.py
+++ b/damaskramp/http/tests/test_server.py
@@ -33,6 +33,9 @@
                 writer.write(data)
             async with asyncio.timeout(LONGEST_SECONDS):
                 got = [await reader.read(-1) for reader, _ in pairs]
+                # The server ends each by itself, though no caller has closed yet.
+                while server.connection_count:
+                    await asyncio.sleep(0.01)
             for _, writer in pairs:
                 writer.close()
             await server.drain(0.0)
@@ -50,6 +53,13 @@
         (got,), _ = self.talk(head)
         self.assertTrue(got.startswith(b"HTTP/1.1 408 "), got)
 
+    def test_caller_that_has_sent_too_much_can_read_its_answer(self):
+        # Closing with bytes unread would reset the connection and lose the answer.
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n"
+        for _ in range(5):
+            (got,), _ = self.talk(head + b"x" * 4_000_000)
+            self.assertTrue(got.startswith(b"HTTP/1.1 413 "), got)
+
     def test_idle_connection_is_closed_without_a_word(self):
         self.assertEqual(([b""], 0), self.talk(b""))
 
--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -16,6 +16,7 @@
 
 from damaskramp.core import STATUS_BY_REASON, Counters, Outcome, Reason
 from damaskramp.fleet.model import CallerLimits
+from damaskramp.http import close_lingering
 from damaskramp.relay.headers import Field, ReservedNames
 
 __all__ = ["CallerConnection", "CallerListener", "CallerRequest", "RequestHandler"]
@@ -180,6 +181,7 @@
         self._head_done = True
         self._since = listener.clock()
         self._stalled_since: float | None = None
+        self._ended = False
         self._held = 0
 
     @property
@@ -222,6 +224,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent."""
+        if self._ended:
+            return
         if not self._head_done or self._reading is None:
             self._head_bytes += len(data)
         try:
@@ -329,7 +333,8 @@
         self._transport.write(b"".join((head, b"\r\n", body)))
         self._since = self._listener.clock()
         if last:
-            self._transport.close()
+            self._ended = True
+            close_lingering(self._transport)
         elif self._waiting:
             # After the parser's present step, which may still be running.
             asyncio.get_running_loop().call_soon(self._begin_next)
