Queue at the backend server: waits with room to spare, ranks counted apart

Change: the expected wait may take half of the time to spare; only a run that takes most of the target's time by itself counts as bad; waits count what goes first.

--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -22,6 +22,9 @@
 
 __all__ = ["Load", "SlotQueue", "SlotSettings", "Verdict", "Work"]
 
+LAST_PRIORITY = 1 << 30
+"""Rank after all others."""
+
 
 @dataclass(frozen=True, slots=True)
 class SlotSettings:
@@ -39,6 +42,14 @@
     queue_slots : float
         Most requests waiting, for each slot. A queue above a few service times can't
         be worked off within any latency target.
+    wait_share : float
+        Part of the time to spare that the expected wait may take; run times vary, and
+        a queue that fills all of it makes most of what it admits late.
+    slow_share : float
+        Part of the latency target that a run may take before it counts as bad.
+    bounded_wait : float
+        Seconds after which requests refused because of bad outcomes should return:
+        some steps of the bound, and a part of the deadlines of interactive callers.
     smoothing : float
         Weight of the newest service time in its moving average: the last dozen count.
     outcome_limit : OutcomeLimitSettings
@@ -49,6 +60,9 @@
     call_weight: float = 4.0
     entry_weight: float = 1.0
     queue_slots: float = 4.0
+    wait_share: float = 0.5
+    slow_share: float = 0.8
+    bounded_wait: float = 0.7
     smoothing: float = 0.08
     outcome_limit: OutcomeLimitSettings = field(default_factory=OutcomeLimitSettings)
 
@@ -79,6 +93,7 @@
     """
 
     __slots__ = (
+        "cost",
         "deadline",
         "enqueued",
         "is_call",
@@ -97,6 +112,7 @@
         self.priority = priority
         self.target = target
         self.deadline = deadline
+        self.cost = 0.0
         self.enqueued = 0.0
         self.started = 0.0
         self.state = "new"
@@ -118,9 +134,17 @@
     def __init__(self, weight: float) -> None:
         self.weight = weight
         self.used = 0.0
-        self.cost = 0.0
+        self.costs: dict[int, float] = {}
         self.heap: list[tuple[int, float, int, Work]] = []
 
+    def cost(self, priority: int) -> float:
+        """Expected run time of what waits ahead of a request of a priority."""
+        return sum(cost for rank, cost in self.costs.items() if rank <= priority)
+
+    def add_cost(self, priority: int, change: float) -> None:
+        """Count a request in or out."""
+        self.costs[priority] = max(0.0, self.costs.get(priority, 0.0) + change)
+
 
 class SlotQueue:
     """Requests that run or wait at one backend server."""
@@ -159,6 +183,15 @@
         """What the server does now."""
         return Load(self._running, self._waiting, self._limit, self._mean)
 
+    def comeback_wait(self, is_call: bool, priority: int) -> float:
+        """Seconds until a refused request is likely to find room."""
+        wait = self.expected_wait(is_call, priority)
+        bound = self._bounds.get(priority)
+        if not is_call and bound is not None:
+            if self._held.get(priority, 0) >= bound.value:
+                return max(wait, self._settings.bounded_wait)
+        return wait
+
     def resize(self, slots: int) -> None:
         """Set the server's slots."""
         below_full = int(slots * self._settings.full_share - 1e-9)
@@ -171,11 +204,13 @@
         """Mean time that requests of a kind run, in seconds."""
         return self._times.get(kind, self._mean)
 
-    def expected_wait(self, is_call: bool, now: float) -> float:
+    def expected_wait(self, is_call: bool, priority: int) -> float:
         """Seconds that a request offered now would wait."""
         if self._running < self._limit and not self._waiting:
             return 0.0
-        ahead = self._calls.cost + (0.0 if is_call else self._entries.cost)
+        ahead = self._calls.cost(priority if is_call else LAST_PRIORITY)
+        if not is_call:
+            ahead += self._entries.cost(priority)
         return (ahead + self._mean) / self._limit
 
     def offer(self, work: Work, now: float) -> Verdict:
@@ -191,15 +226,16 @@
             return Verdict.RUN
         if self._waiting >= self._settings.queue_slots * self._limit:
             return Verdict.REFUSE
-        needed = self.expected_wait(work.is_call, now) + self.service_time(work.kind)
-        if now + needed > self._latest_end(work):
+        wait = self.expected_wait(work.is_call, work.priority)
+        if wait > self._settings.wait_share * self._longest_wait(work, now):
             return Verdict.REFUSE
         lane = self._lane(work)
         if not lane.heap:
             self._catch_up(lane)
         entry = (work.priority, work.target, next(self._order), work)
         heappush(lane.heap, entry)
-        lane.cost += self.service_time(work.kind)
+        work.cost = self.service_time(work.kind)
+        lane.add_cost(work.priority, work.cost)
         work.state = "waiting"
         self._hold(work, 1)
         self._waiting += 1
@@ -218,7 +254,11 @@
         work.state = "done"
         if not work.is_call and good is not None:
             held = self._held.get(work.priority, 0)
-            bad = not good or now > work.target
+            # Its own wait here is bounded already; a run that takes most of the
+            # target's time by itself waits for something further down.
+            span = work.target - work.enqueued
+            slow = now - work.started > self._settings.slow_share * span
+            bad = not good or slow
             self._bound(work.priority, now).ended(bad, held, now)
         self._hold(work, -1)
         self._running -= 1
@@ -253,19 +293,18 @@
             for *_, work in lane.heap:
                 if work.state != "waiting":
                     continue
-                if now + self.service_time(work.kind) > self._latest_end(work):
+                if self._longest_wait(work, now) < 0:
                     late.append(work)
         for work in late:
             self._hold(work, -1)
             self._leave(work)
         return late
 
-    def _latest_end(self, work: Work) -> float:
+    def _longest_wait(self, work: Work, now: float) -> float:
         # A call is needed by the request that made it until its deadline; a new
         # request that misses its latency target has lost most of its value.
-        if work.is_call:
-            return work.deadline
-        return min(work.deadline, max(work.target, work.enqueued))
+        end = work.deadline if work.is_call else min(work.deadline, work.target)
+        return end - now - self.service_time(work.kind)
 
     def _hold(self, work: Work, change: int) -> None:
         if not work.is_call:
@@ -294,7 +333,7 @@
         work.state = "done"
         self._waiting -= 1
         lane = self._lane(work)
-        lane.cost = max(0.0, lane.cost - self.service_time(work.kind))
+        lane.add_cost(work.priority, -work.cost)
 
     def _pop(self) -> Work | None:
         while True:
--- /dev/null
+++ b/damaskramp/dispatch/tests/test_decisions.py
@@ -0,0 +1,128 @@
+"""Selection of servers, retry budget, suspects and routes."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from damaskramp.dispatch import (
+    Death,
+    Load,
+    RetryBudget,
+    RetryBudgetSettings,
+    SelectionSettings,
+    ServerSelector,
+    Suspects,
+    SuspectSettings,
+)
+from damaskramp.fleet import BackendServer
+
+
+def server(name, zone="a", leaving=False):
+    return BackendServer(
+        name, "draws", f"10.0.0.{name}:80", zone, 20, leaving, 0.0, 0, 1
+    )
+
+
+def selector(seed=1):
+    return ServerSelector(SelectionSettings(), "a", random.Random(seed))
+
+
+class TestServerSelector(TestCase):
+    def test_own_zone_first_and_spill_before_a_queue_grows(self):
+        chooser = selector()
+        near, far = server("1"), server("2", "b")
+        chosen = []
+        for _ in range(20):
+            found = chooser.choose([near, far], (), 3, 0.0)
+            chooser.sent(found)
+            chosen.append(found.id)
+        self.assertEqual(["1"] * 16, chosen[:16])
+        self.assertEqual({"2"}, set(chosen[16:]))
+
+    def test_leaving_and_excluded_servers_get_nothing(self):
+        chooser = selector()
+        servers = [server("1", leaving=True), server("2"), server("3", "b")]
+        self.assertEqual("3", chooser.choose(servers, {"2"}, 0, 0.0).id)
+        self.assertIsNone(chooser.choose(servers, {"2", "3"}, 0, 0.0))
+
+    def test_slow_and_failing_servers_are_avoided_but_never_all(self):
+        chooser = selector()
+        slow, fast = server("1"), server("2", "b")
+        chooser.reported(slow, Load(1, 0, 19, 0.5), 0.0)
+        chooser.reported(fast, Load(1, 0, 19, 0.05), 0.0)
+        self.assertEqual("2", chooser.choose([slow, fast], (), 0, 0.0).id)
+        for _ in range(50):
+            chooser.ended(fast, failed=True)
+        self.assertEqual("1", chooser.choose([slow, fast], (), 0, 0.0).id)
+        for one in (slow, fast):
+            chooser.shun(one, 1.0, 0.0)
+        self.assertIsNotNone(chooser.choose([slow, fast], (), 0, 0.0))
+
+    def test_refusal_closes_a_server_for_lesser_ranks_only(self):
+        chooser = selector()
+        only = server("1")
+        chooser.refused(only, 3, 0.0)
+        self.assertIsNone(chooser.choose([only], (), 3, 0.01))
+        self.assertEqual(only, chooser.choose([only], (), 0, 0.01))
+        self.assertEqual(only, chooser.choose([only], (), 3, 1.0))
+
+    def test_only_a_server_that_fails_alone_stands_out(self):
+        chooser = selector()
+        servers = [server("1"), server("2")]
+        for _ in range(20):
+            chooser.ended(servers[0], failed=True)
+        self.assertTrue(chooser.stands_out(servers[0], servers))
+        for _ in range(20):
+            chooser.ended(servers[1], failed=True)
+        self.assertFalse(chooser.stands_out(servers[0], servers))
+
+
+class TestRetryBudget(TestCase):
+    @given(
+        st.lists(
+            st.tuples(st.floats(0, 0.4), st.booleans(), st.integers(0, 2)),
+            max_size=300,
+        )
+    )
+    def test_no_window_holds_more_repeats_than_allowed(self, steps):
+        settings = RetryBudgetSettings(0.2, 10.0, 12.0)
+        budgets = [RetryBudget(settings) for _ in range(3)]
+        for budget in budgets:
+            budget.resize(3)
+        now, requests, repeats = 0.0, [], []
+        for pause, is_repeat, host in steps:
+            now += pause
+            if not is_repeat:
+                budgets[host].request("draws", now)
+                requests.append(now)
+            elif budgets[host].spend("draws", now):
+                repeats.append(now)
+        for end in repeats:
+            held = sum(end - 10.0 < at <= end for at in repeats)
+            first = sum(end - 10.0 < at <= end for at in requests)
+            before = sum(end - 20.0 < at <= end - 10.0 for at in requests)
+            # Parts of a window are counted whole, so the window before may reach
+            # half a second into the one before it.
+            before += sum(end - 20.5 < at <= end - 20.0 for at in requests)
+            before += sum(end - 10.0 < at <= end - 9.5 for at in requests)
+            self.assertLessEqual(held, 0.2 * max(first, before) + 12.0)
+
+
+class TestSuspects(TestCase):
+    def test_second_death_quarantines_and_time_clears(self):
+        suspects = Suspects(SuspectSettings(deaths=2, memory=60.0))
+        suspects.note([Death(7, "i-1/0")], 0.0)
+        suspects.note([Death(7, "i-1/0")], 0.1)
+        self.assertFalse(suspects.refuses(7, 0.2))
+        suspects.note([Death(7, "i-2/0")], 1.0)
+        self.assertTrue(suspects.refuses(7, 1.1))
+        self.assertFalse(suspects.refuses(7, 61.5))
+
+    def test_success_clears_a_bystander(self):
+        suspects = Suspects(SuspectSettings())
+        suspects.note([Death(7, "i-1/0")], 0.0)
+        suspects.clear(7)
+        suspects.note([Death(7, "i-2/0")], 1.0)
+        self.assertFalse(suspects.refuses(7, 1.1))
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -107,7 +107,7 @@
             self._queue.resize(slots)
         verdict = self._queue.offer(run.work, now)
         if verdict is Verdict.REFUSE:
-            wait = self._queue.expected_wait(call.is_call, now)
+            wait = self._queue.comeback_wait(call.is_call, call.priority)
             run.refuse(Reason.OVERLOADED, wait, False)
             return run.cancel
         self._runs.add(run)
@@ -119,7 +119,7 @@
         """Refuse what waits in vain, abandon what is overdue."""
         now = self._clock()
         for work in self._queue.expire(now):
-            wait = self._queue.expected_wait(work.is_call, now)
+            wait = self._queue.comeback_wait(work.is_call, work.priority)
             work.run.refuse(Reason.OVERLOADED, wait, False)
         for run in list(self._runs):
             if now > run.work.deadline + OVERDUE_SECONDS:
