Deletions are held back for two seconds after an outage of the platform

A server whose entry is deleted was still given calls by its own node when another node had not heard of it yet. Tests: directory and freshness, with views merged in any order by hypothesis.

--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -187,10 +187,9 @@
         """Seconds until a refused request is likely to find room."""
         wait = self.expected_wait(is_call, priority)
         bound = self._bounds.get(priority)
-        if not is_call and bound is not None:
-            if self._held.get(priority, 0) >= bound.value:
-                return max(wait, self._settings.bounded_wait)
-        return wait
+        if is_call or bound is None or self._held.get(priority, 0) < bound.value:
+            return wait
+        return max(wait, self._settings.bounded_wait)
 
     def resize(self, slots: int) -> None:
         """Set the server's slots."""
--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -3,6 +3,10 @@
 Each description carries the revision of the store at which it was written, so views
 merge in any order: the later revision wins. Deletions leave a marker with their
 revision for as long as a peer may still hold the deleted description.
+
+Descriptions may lapse while the platform is out of reach, though their servers live.
+After its return deletions are therefore held back until the time is over in which
+such servers describe themselves again.
 """
 
 from collections.abc import Callable, Iterable
@@ -36,6 +40,8 @@
         self._removed: dict[ServerId, tuple[Revision, float]] = {}
         self._by_service: dict[ServiceName, list[BackendServer]] = {}
         self._hosts_seen: dict[str, tuple[float, ZoneName]] = {}
+        self._held: dict[ServerId, Revision] = {}
+        self._hold_until = float("-inf")
         self._revision = Revision(0)
         self._generation = 0
 
@@ -72,6 +78,21 @@
         """Whether a server is listed."""
         return server in self._servers
 
+    def was_removed(self, server: ServerId) -> bool:
+        """Whether a server's description has been deleted."""
+        return server in self._removed
+
+    def hold_removals(self, until: float) -> None:
+        """Hold deletions back until a time of the clock."""
+        self._hold_until = max(self._hold_until, until)
+
+    def release_removals(self) -> bool:
+        """Carry out what was held back, once its time is over."""
+        if not self._held or self._clock() < self._hold_until:
+            return False
+        held, self._held = self._held, {}
+        return self.merge((), held.items())
+
     def hosts(self) -> list[tuple[str, ZoneName]]:
         """Hosts that are listed or were a short time ago, with their zone."""
         now = self._clock()
@@ -138,6 +159,9 @@
         known = self._servers.get(name)
         if known is not None and known.revision > revision:
             return False
+        if known is not None and self._clock() < self._hold_until:
+            self._held[name] = revision
+            return False
         marker = self._removed.get(name)
         if marker is not None and marker[0] >= revision:
             return False
--- /dev/null
+++ b/damaskramp/fleet/tests/test_directory.py
@@ -0,0 +1,96 @@
+"""Views of the backend servers merge alike in any order, and forget in time."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from damaskramp.fleet import BackendServer, Directory, Freshness
+
+
+def server(name, revision, leaving=False, address="10.0.0.1:80", started=0):
+    return BackendServer(
+        name, "draws", address, "a", 8, leaving, 0.0, started, revision
+    )
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+class TestDirectory(TestCase):
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=20
+        ),
+        st.integers(0, 2**32),
+    )
+    def test_changes_merge_alike_in_any_order(self, events, seed):
+        changes = [(n, r, put) for r, (n, put) in enumerate(events, 1)]
+        views = []
+        for shuffled in (changes, random.Random(seed).sample(changes, len(changes))):
+            directory = Directory(Clock())
+            for name, revision, put in shuffled:
+                if put:
+                    directory.merge([server(name, revision)])
+                else:
+                    directory.merge([], [(name, revision)])
+            views.append({(s.id, s.revision) for s in directory.servers})
+        last = {name: (revision, put) for name, revision, put in changes}
+        expected = {(name, revision) for name, (revision, put) in last.items() if put}
+        self.assertEqual([expected, expected], views)
+
+    def test_snapshot_drops_what_it_lacks_but_nothing_newer(self):
+        directory = Directory(Clock())
+        directory.merge([server("old", 3), server("new", 9)])
+        directory.replace((), 5)
+        self.assertEqual(["new"], [s.id for s in directory.servers])
+
+    def test_latest_lifetime_at_an_address_counts(self):
+        directory = Directory(Clock())
+        directory.merge([server("a", 5, started=1), server("b", 4, started=2)])
+        self.assertEqual("b", directory.at("10.0.0.1:80", "draws").id)
+        self.assertIsNone(directory.at("10.0.0.1:80", "other"))
+
+    def test_lapsed_servers_may_return_after_an_outage(self):
+        clock = Clock()
+        directory = Directory(clock)
+        directory.merge([server("back", 3), server("gone", 4)])
+        directory.hold_removals(until=2.0)
+        directory.merge([], [("back", 7), ("gone", 8)])
+        self.assertEqual(2, len(directory.servers))
+        directory.merge([server("back", 9)])
+        clock.now = 1.9
+        self.assertFalse(directory.release_removals())
+        clock.now = 2.0
+        self.assertTrue(directory.release_removals())
+        self.assertEqual(["back"], [s.id for s in directory.servers])
+
+    def test_hosts_count_for_a_while_after_they_left(self):
+        clock = Clock()
+        directory = Directory(clock)
+        directory.merge([server("a", 1, address="10.0.0.2:80")])
+        directory.merge([], [("a", 2)])
+        clock.now = 19.0
+        self.assertEqual([("10.0.0.2", "a")], directory.hosts())
+        clock.now = 21.0
+        self.assertEqual([], directory.hosts())
+
+
+class TestFreshness(TestCase):
+    def test_delay_of_a_peers_answer_makes_no_proof_younger(self):
+        clock = Clock()
+        freshness = Freshness(clock)
+        clock.now = 10.0
+        asked_at = freshness.now
+        # The peer answered that its proof was 1 s old; the answer took 4 s.
+        clock.now = 14.0
+        freshness.confirm_by_peer(asked_at, 1.0)
+        self.assertEqual(5.0, freshness.age)
+        freshness.confirm(8.0)
+        self.assertEqual(5.0, freshness.age)
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -130,6 +130,8 @@
         beliefs = self._beliefs
         if self.leaving or beliefs.own_server_leaving:
             return Reason.BACKEND_SERVER_LEAVING
+        if beliefs.directory.was_removed(call.server):
+            return Reason.BACKEND_SERVER_LEAVING
         own = beliefs.own_server
         other = own is not None and own.id != call.server
         # Either side may know the newer server of this address.
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -262,6 +262,7 @@
 
     def _gossip(self) -> None:
         directory = self._beliefs.directory
+        directory.release_removals()
         self._budget.resize(len(directory.hosts()))
         self._selector.forget({server.id for server in directory.servers})
         self._peers.gossip()
--- a/damaskramp/relay/watcher.py
+++ b/damaskramp/relay/watcher.py
@@ -15,6 +15,14 @@
 
 __all__ = ["Watcher", "WatcherSettings"]
 
+OUTAGE_SECONDS = 1.5
+"""Time out of reach after which descriptions may have lapsed: half of the shortest
+time that they live without a heartbeat."""
+
+LAPSE_SECONDS = 2.0
+"""Time after the platform's return within which living servers are described again;
+the platform's own figure."""
+
 LOGGER = logging.getLogger(__name__)
 
 
@@ -66,6 +74,7 @@
         self._counters = counters
         self._random = random_source
         self._reachable: bool | None = None
+        self._lost_at: float | None = None
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -95,6 +104,7 @@
         beliefs = self._beliefs
         asked_at = beliefs.freshness.now
         snapshot = await self._source.snapshot()
+        self._note_return()
         beliefs.directory.replace(snapshot.servers, snapshot.revision)
         if snapshot.configuration is not None:
             self._take(snapshot.configuration)
@@ -113,6 +123,7 @@
         beliefs = self._beliefs
         asked_at = beliefs.freshness.now
         changes = await self._source.changes(revision, self._settings.watch_seconds)
+        self._note_return()
         beliefs.directory.merge(changes.servers, changes.removed, changes.revision)
         if changes.configuration is not None:
             self._take(changes.configuration)
@@ -127,6 +138,11 @@
             )
         return changes.revision
 
+    def _note_return(self) -> None:
+        lost_at, self._lost_at = self._lost_at, None
+        if lost_at is not None and self._timers.now - lost_at > OUTAGE_SECONDS:
+            self._beliefs.directory.hold_removals(self._timers.now + LAPSE_SECONDS)
+
     def _take(self, configuration: FleetConfiguration) -> None:
         if self._beliefs.take(configuration):
             self._counters.add("configurations", reason="platform")
@@ -140,6 +156,9 @@
             )
 
     def _note_reachable(self, reachable: bool, error: Exception | None) -> None:
+        now = self._timers.now
+        if not reachable and self._reachable:
+            self._lost_at = now
         if reachable != self._reachable:
             self._reachable = reachable
             event = "platform reached" if reachable else "platform lost"
