--- /dev/null
+++ b/benchmarks/relay_cost.py
@@ -0,0 +1,155 @@
+"""Processor time of a request over two relay nodes, against earlier ways.
+
+Run with ``python -m benchmarks.relay_cost``. Two nodes in a process of their own each,
+a backend server and a store in this one. Printed for each way: processor time of both
+nodes for a request, and times seen by the caller. ``--profile FILE`` has the entry node
+write a profile.
+"""
+
+import argparse
+import asyncio
+import cProfile
+import multiprocessing
+import resource
+import statistics
+import time
+
+import uvloop
+
+from damaskramp.core import Counters
+from damaskramp.platform import PLATFORM_HEADERS, READINESS_PATH, MetadataStore
+from damaskramp.relay.node import RelayNode
+from tests.relay_fleet import CLUBS, RelayFleet, configuration, read_answer, route
+
+REQUESTS = 8000
+CALLERS = 16
+REQUEST = (
+    b"GET /a/%d HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q%d\r\n"
+    b"X-Timeout-Ms: 5000\r\nAuthorization: Token key-1\r\n\r\n"
+)
+
+
+def _serve(settings, pipe, loop, profile):
+    """Run one node in this process; tell its processor time on request."""
+    profiler = cProfile.Profile() if profile else None
+
+    async def run():
+        counters = Counters()
+        source = MetadataStore(settings.platform_address, counters)
+        node = RelayNode(settings, source, PLATFORM_HEADERS, READINESS_PATH, counters)
+        await node.start()
+        while not node.ready:
+            await asyncio.sleep(0.01)
+        pipe.send("ready")
+        while True:
+            while not pipe.poll():
+                await asyncio.sleep(0.05)
+            if pipe.recv() == "stop":
+                return
+            pipe.send(_processor_seconds())
+
+    if profiler is not None:
+        profiler.enable()
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(run())
+    if profiler is not None:
+        profiler.disable()
+        profiler.dump_stats(profile)
+
+
+def _processor_seconds():
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+class _ProcessFleet(RelayFleet):
+    """Nodes in processes of their own."""
+
+    def __init__(self, loop, profile):
+        super().__init__(["svc", "far"])
+        self._loop = loop
+        self._profile = profile
+        self.pipes = []
+        self.processes = []
+
+    async def start_node(self, n):
+        here, there = multiprocessing.Pipe()
+        profile = f"{self._profile}.{n}" if self._profile else None
+        arguments = (self.settings(n), there, self._loop, profile)
+        process = multiprocessing.Process(target=_serve, args=arguments)
+        process.start()
+        self.processes.append(process)
+        self.pipes.append(here)
+
+    async def start(self, config):
+        await super().start(config)
+        for pipe in self.pipes:
+            await self.until(pipe.poll)
+            pipe.recv()
+
+    async def used(self):
+        total = 0.0
+        for pipe in self.pipes:
+            pipe.send("used")
+            await self.until(pipe.poll)
+            total += pipe.recv()
+        return total
+
+    async def stop(self):
+        for pipe, process in zip(self.pipes, self.processes, strict=True):
+            pipe.send("stop")
+            process.join()
+        await super().stop()
+
+
+async def _load(fleet, requests):
+    times = []
+    counter = iter(range(requests))
+
+    async def caller():
+        reader, writer = await fleet.connect(0)
+        for n in counter:
+            began = time.perf_counter()
+            writer.write(REQUEST % (n, n))
+            status, _, _ = await read_answer(reader)
+            assert status == 200, status
+            times.append(time.perf_counter() - began)
+        writer.close()
+
+    await asyncio.gather(*(caller() for _ in range(CALLERS)))
+    return times
+
+
+async def _measure(name, loop, profile):
+    fleet = _ProcessFleet(loop, profile)
+    try:
+        await fleet.start(configuration(1, [route("far", "/")], CLUBS))
+        await _load(fleet, 500)
+        before = await fleet.used()
+        times = sorted(await _load(fleet, REQUESTS))
+        used = await fleet.used() - before
+        idle_from = await fleet.used()
+        await asyncio.sleep(5.0)
+        idle = await fleet.used() - idle_from
+    finally:
+        await fleet.stop()
+    p99 = times[int(len(times) * 0.99)]
+    print(
+        f"{name:12} {1e3 * used / REQUESTS:7.3f} ms processor time a request, "
+        f"p50 {1e3 * statistics.median(times):6.2f} ms, p99 {1e3 * p99:6.2f} ms, "
+        f"{100 * idle / 5.0 / 2:5.2f} % of a core idle"
+    )
+
+
+def main():
+    """Measure the relay on both loops."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--profile", default="")
+    profile = parser.parse_args().profile
+    asyncio.run(_measure("uvloop", uvloop.new_event_loop, profile))
+    if not profile:
+        asyncio.run(_measure("asyncio", asyncio.new_event_loop, profile))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -277,9 +277,9 @@
             lambda: all(len(b.directory.servers) == count for b in beliefs)
         )
 
-    async def start_node(self, n):
+    def settings(self, n):
         host = self.host(n)
-        settings = RelaySettings(
+        return RelaySettings(
             host=f"host-{n}",
             zone=f"z{n % 2}",
             callers=f"{host}:8101",
@@ -292,6 +292,9 @@
             revoke_seconds=self._revoke,
             grace_seconds=3.0,
         )
+
+    async def start_node(self, n):
+        settings = self.settings(n)
         counters = Counters()
         source = MetadataStore(settings.platform_address, counters)
         node = RelayNode(settings, source, PLATFORM_HEADERS, READINESS_PATH, counters)
