Two readers a zone follow the platform and tell their peers at once

Change: two nodes of each zone read; changes are told to six peers at once and the proof's age goes by the rounds of asking; a node whose proof gets old reads itself.

--- a/damaskramp/relay/messages.py
+++ b/damaskramp/relay/messages.py
@@ -23,6 +23,7 @@
     PONG = 7
     BORROW = 8
     LENT = 9
+    NEWS = 10
 
 
 REASONS = tuple(Reason)
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -157,14 +157,17 @@
             random_source,
         )
         self._listener = CallerListener(forwarder, names, clock, counters)
-        self._links = LinkService(self._executor, self._peers.pong, self._permits.lend)
+        self._links = LinkService(
+            self._executor, self._peers.pong, self._permits.lend, self._peers.news
+        )
         self._watcher = Watcher(
-            WatcherSettings(key_seconds * WATCH_SHARE),
+            WatcherSettings(key_seconds * WATCH_SHARE, key_seconds / 2),
             source,
             self._beliefs,
             self._timers,
             counters,
             random_source,
+            self._peers.spread,
         )
         self._readiness_path = readiness_path
         self._stopping = False
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -280,6 +280,8 @@
         From the fields of a ping to those of its answer.
     lend : callable
         From a team and the permits wanted to the permits given.
+    news : callable
+        Takes changes that another node has read.
     """
 
     def __init__(
@@ -287,7 +289,9 @@
         executor: Executor,
         pong: Callable[[list], tuple],
         lend: Callable[[str, float], float],
+        news: Callable[[list], None],
     ) -> None:
+        self.news = news
         self.executor = executor
         self.pong = pong
         self.lend = lend
@@ -339,6 +343,8 @@
                 cancel()
         elif kind == Kind.PING:
             self.send((Kind.PONG, *self._service.pong(message)))
+        elif kind == Kind.NEWS:
+            self._service.news(message)
         elif kind == Kind.BORROW:
             _, number, team, wanted = message
             self.send((Kind.LENT, number, self._service.lend(team, wanted)))
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -6,22 +6,28 @@
 nobody learns of others when they ask it.
 """
 
+import logging
 import random
 from collections.abc import Callable
 
 from damaskramp.core import Counters, Reason
 from damaskramp.dispatch import Death, Load
-from damaskramp.fleet import BackendServer, FleetSource, SourceError
+from damaskramp.fleet import BackendServer, FleetSource, SourceChanges, SourceError
 from damaskramp.relay.beliefs import Beliefs
 from damaskramp.relay.execution import CallReply
-from damaskramp.relay.messages import Call
+from damaskramp.relay.messages import Call, Kind
 from damaskramp.relay.peer_link import LinkState, PeerLink
 
 __all__ = ["Peers"]
 
+LOGGER = logging.getLogger(__name__)
+
 ASKED_PEERS = 2
 """Peers asked in each round; with it news reaches all in about log(hosts) rounds."""
 
+TOLD_PEERS = 6
+"""Peers told of a change at once by each of its readers."""
+
 RETRY_SECONDS = 0.25
 """Pause before a link that broke is opened again."""
 
@@ -119,6 +125,28 @@
             if link.state is LinkState.UP:
                 self._ping(link)
 
+    def spread(self, changes: SourceChanges) -> None:
+        """Tell some peers of changes at once; the others ask for them."""
+        configuration = changes.configuration
+        news = (
+            Kind.NEWS,
+            configuration.document if configuration is not None else b"",
+            [_wire(server) for server in changes.servers],
+            list(changes.removed),
+        )
+        links = [link for link in self._links.values() if link.state is LinkState.UP]
+        for link in self._random.sample(links, min(TOLD_PEERS, len(links))):
+            link.send(news)
+
+    def news(self, message: list) -> None:
+        """Take changes that a peer has read."""
+        _, document, servers, removed = message
+        self._take_document(document)
+        self._beliefs.directory.merge(
+            (BackendServer(*server) for server in servers),
+            ((name, change) for name, change in removed),
+        )
+
     def close(self) -> None:
         """Close all links."""
         for link in list(self._links.values()):
@@ -181,13 +209,7 @@
         ) = message
         self._note_peer(host, leaving)
         beliefs = self._beliefs
-        if document:
-            try:
-                if beliefs.take(self._source.decode(document)):
-                    self._counters.add("configurations", reason="peer")
-            except SourceError:
-                self._counters.add("peer_documents_unreadable")
-                return
+        self._take_document(document)
         # The other's proof is one of its version; it proves this node's belief only
         # if that is no older.
         if age >= 0 and beliefs.version >= version:
@@ -200,6 +222,18 @@
             )
         beliefs.suspects.note((Death(*death) for death in deaths), self._clock())
 
+    def _take_document(self, document: bytes) -> None:
+        if not document:
+            return
+        try:
+            if self._beliefs.take(self._source.decode(document)):
+                self._counters.add("configurations", reason="peer")
+        except SourceError as error:
+            self._counters.add("peer_documents_unreadable")
+            LOGGER.warning(
+                "document of a peer unreadable", extra={"reason": str(error)}
+            )
+
     def _probe_unreachable(self) -> None:
         """Try to reach the hosts that were lost; calls go there once that succeeds."""
         for host in list(self._unreachable):
--- a/damaskramp/relay/watcher.py
+++ b/damaskramp/relay/watcher.py
@@ -2,19 +2,26 @@
 
 import logging
 import random
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from damaskramp.core import Counters, TimerService
+from damaskramp.core.rendezvous import rendezvous_score
 from damaskramp.fleet import (
     FleetConfiguration,
     FleetSource,
     HistoryLostError,
     SourceBusyError,
+    SourceChanges,
     SourceError,
 )
 from damaskramp.relay.beliefs import Beliefs
 
 __all__ = ["Watcher", "WatcherSettings"]
 
+IDLE_SECONDS = 0.2
+"""Pause between looks at whether to read; a part of every bound on news."""
+
 OUTAGE_SECONDS = 1.5
 """Time out of reach after which descriptions may have lapsed: half of the shortest
 time that they live without a heartbeat."""
@@ -26,25 +33,31 @@
 LOGGER = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
 class WatcherSettings:
-    """Pace of reading.
+    """Pace of reading, in seconds.
 
-    Parameters
+    Attributes
     ----------
     watch_seconds : float
         Longest wait of one watch. Its answer is the proof that nothing has changed, so
         it is a fraction of the time for which keys are honoured without proof.
+    stale_seconds : float
+        Age of the proof from which a node reads that is no reader of its zone: more
+        than peers' proofs reach, and half of the time for which keys are honoured.
+    readers : int
+        Readers in each zone; one may be lost without a gap.
+    shortest_pause, longest_pause : float
+        Pause after a failure, doubled by each one that follows. A returning platform is
+        found within the longest, while a fleet of a thousand asks less often than the
+        platform's bound on reads.
     """
 
-    def __init__(self, watch_seconds: float) -> None:
-        self.watch_seconds = watch_seconds
-
-    SHORTEST_PAUSE = 0.1
-    """Pause in seconds after a failure; doubled by each one that follows."""
-
-    LONGEST_PAUSE = 0.6
-    """Seconds; a returning platform is found within this time, while a fleet of a
-    thousand asks less often than the platform's bound on reads."""
+    watch_seconds: float
+    stale_seconds: float
+    readers: int = 2
+    shortest_pause: float = 0.1
+    longest_pause: float = 0.6
 
 
 class Watcher:
@@ -56,6 +69,8 @@
         What is read.
     beliefs : Beliefs
         Where it is written.
+    spread : callable
+        Called with changes that other nodes should learn of at once.
     """
 
     def __init__(
@@ -66,7 +81,9 @@
         timers: TimerService,
         counters: Counters,
         random_source: random.Random,
+        spread: Callable[[SourceChanges], None],
     ) -> None:
+        self._spread = spread
         self._settings = settings
         self._source = source
         self._beliefs = beliefs
@@ -79,11 +96,14 @@
     async def run(self) -> None:
         """Read until cancelled."""
         revision = None
-        pause = WatcherSettings.SHORTEST_PAUSE
+        pause = self._settings.shortest_pause
         while True:
             try:
                 if revision is None:
                     revision = await self._snapshot()
+                elif not self._should_read():
+                    await self._timers.sleep(IDLE_SECONDS)
+                    continue
                 else:
                     revision = await self._changes(revision)
             except HistoryLostError:
@@ -95,10 +115,28 @@
                 busy = isinstance(error, SourceBusyError)
                 self._counters.add("source_errors", reason="busy" if busy else "failed")
                 await self._timers.sleep(pause * (0.5 + self._random.random()))
-                pause = min(2 * pause, WatcherSettings.LONGEST_PAUSE)
+                pause = min(2 * pause, self._settings.longest_pause)
+                continue
+            except (KeyError, TypeError, ValueError) as error:
+                # An answer of another form than agreed must not end the reading.
+                self._counters.add("source_errors", reason="unreadable")
+                LOGGER.error(
+                    "platform's answer unreadable", extra={"cause": repr(error)}
+                )
+                await self._timers.sleep(self._settings.longest_pause)
+                revision = None
                 continue
             self._note_reachable(True, None)
-            pause = WatcherSettings.SHORTEST_PAUSE
+            pause = self._settings.shortest_pause
+
+    def _should_read(self) -> bool:
+        """Whether this node reads for its zone, or can't rely on those that do."""
+        beliefs = self._beliefs
+        if beliefs.freshness.age > self._settings.stale_seconds:
+            return True
+        hosts = [h for h, zone in beliefs.directory.hosts() if zone == beliefs.zone]
+        hosts.sort(key=lambda host: rendezvous_score(host, "reader"), reverse=True)
+        return beliefs.host in hosts[: self._settings.readers]
 
     async def _snapshot(self) -> int:
         beliefs = self._beliefs
@@ -129,6 +167,8 @@
             self._take(changes.configuration)
         if beliefs.configuration is not None:
             beliefs.freshness.confirm(asked_at)
+        if changes.configuration is not None or changes.servers or changes.removed:
+            self._spread(changes)
         for server in changes.servers:
             if server.leaving:
                 LOGGER.info("backend server is leaving", extra={"server": server.id})
