--- a/damaskramp/dispatch/selection.py
+++ b/damaskramp/dispatch/selection.py
@@ -49,7 +49,7 @@
     """
 
     spill_load: float = 0.8
-    slow_factor: float = 2.0
+    slow_factor: float = 4.0
     report_seconds: float = 1.0
     closed_seconds: float = 0.03
     failure_weight: float = 20.0
