Decisions logged at both nodes by the request's id, with a bound and a sample

Cause: on-call engineers have only logs and metrics; a line on a refusal stood at the entry node only and named neither permits nor the server that was waited for. Change: refusals, breaks and overdue calls are told by the executing node with what runs, waits and fits there; served requests as a sample of one a second; inputs with their age and version. Also: the collector looks less often, as few objects of a request are in cycles.

--- a/damaskramp/cli/relay.py
+++ b/damaskramp/cli/relay.py
@@ -1,6 +1,7 @@
 """Start and stop of a node that relays on the users' platform."""
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -20,6 +21,10 @@
 SETTINGS_SECONDS = 1.0
 """Pause between looks at the settings file, which may change without a signal."""
 
+COLLECT_OBJECTS = 20_000
+"""Objects made between two looks of the garbage collector: some hundred requests'
+worth. Few objects of a request are in cycles."""
+
 LOGGER = logging.getLogger(__name__)
 
 
@@ -30,6 +35,10 @@
         return fail(loaded.error)
     if check_only:
         return ExitCode.OK
+    # What was imported lives as long as the process; the collector need not look at it.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_OBJECTS, 20, 50)
     counters = Counters()
     root = logging.getLogger()
     root.handlers[:] = [NonBlockingHandler(sys.stdout.fileno(), counters)]
--- a/damaskramp/relay/decision_log.py
+++ b/damaskramp/relay/decision_log.py
@@ -15,6 +15,9 @@
 
 LOGGER = logging.getLogger("damaskramp.decisions")
 
+SAMPLES_PER_SECOND = 1.0
+"""Served requests told by each node: enough to see the usual way of a request."""
+
 
 class NonBlockingHandler(logging.Handler):
     """Writes JSON lines to a file descriptor; loses what it doesn't take at once."""
@@ -43,33 +46,36 @@
 class DecisionLog:
     """Lines on decisions, at most so many a second.
 
+    Refusals and failures share one bound; served requests have a small one of their
+    own, as a sample, so that neither crowds the other out.
+
     Parameters
     ----------
     lines_per_second : float
-        Bound on the lines; 0 writes none.
+        Bound on the lines about refusals and failures; 0 writes none.
     """
 
     def __init__(
         self, lines_per_second: float, clock: Callable[[], float], counters: Counters
     ) -> None:
-        self._rate = lines_per_second
         self._clock = clock
         self._counters = counters
-        self._level = lines_per_second
-        self._then = clock()
+        self._lines = _Pace(lines_per_second, clock())
+        samples = min(SAMPLES_PER_SECOND, lines_per_second)
+        self._samples = _Pace(samples, clock())
         self._left_out = 0
 
     def wants_line(self) -> bool:
         """Whether a line may be written now; counts it as left out if not."""
-        now = self._clock()
-        self._level = min(self._rate, self._level + (now - self._then) * self._rate)
-        self._then = now
-        if self._level < 1.0:
-            self._left_out += 1
-            self._counters.add("log_lines_left_out")
-            return False
-        self._level -= 1.0
-        return True
+        if self._lines.take(self._clock()):
+            return True
+        self._left_out += 1
+        self._counters.add("log_lines_left_out")
+        return False
+
+    def wants_sample(self) -> bool:
+        """Whether a served request may be written now."""
+        return self._samples.take(self._clock())
 
     def write(self, event: str, **fields: object) -> None:
         """Write a line."""
@@ -77,3 +83,20 @@
             fields["lines_left_out"] = self._left_out
             self._left_out = 0
         LOGGER.info(event, extra=fields)
+
+
+class _Pace:
+    """Events up to a rate, with a second's worth at once."""
+
+    def __init__(self, rate: float, now: float) -> None:
+        self._rate = rate
+        self._level = rate
+        self._then = now
+
+    def take(self, now: float) -> bool:
+        self._level = min(self._rate, self._level + (now - self._then) * self._rate)
+        self._then = now
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -18,6 +18,7 @@
     ServerConnections,
 )
 from damaskramp.relay.beliefs import Beliefs
+from damaskramp.relay.decision_log import DecisionLog
 from damaskramp.relay.headers import HeaderNames, ReservedNames
 from damaskramp.relay.messages import Call
 
@@ -72,7 +73,9 @@
         header_names: HeaderNames,
         clock: Callable[[], float],
         counters: Counters,
+        log: DecisionLog,
     ) -> None:
+        self._log = log
         self._beliefs = beliefs
         self._queue = queue
         self._connections = connections
@@ -159,6 +162,30 @@
         self._queue.finish(run.work, self._clock(), good)
         self._start_next()
 
+    def _tell(self, event: str, run: "_Run", reason: str, **fields: object) -> None:
+        if not self._log.wants_line():
+            return
+        call, load, beliefs = run.call, self._queue.load, self._beliefs
+        self._log.write(
+            event,
+            request_id=call.request_id.decode("latin-1"),
+            reason=reason,
+            route=call.route,
+            server=call.server,
+            is_call=call.is_call,
+            priority=call.priority,
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+            service_seconds=round(load.service_time, 4),
+            waited_seconds=round(self._clock() - run.work.enqueued, 4)
+            if run.work.enqueued
+            else 0.0,
+            version=beliefs.version,
+            age_seconds=round(beliefs.freshness.age, 3),
+            **fields,
+        )
+
     def _note_break(self, call: Call) -> None:
         now = self._clock()
         self._broken.append((now, call.fingerprint))
@@ -193,6 +220,11 @@
         self._abandon: Callable[[], None] | None = None
         self.work = _RunWork(self, call, now)
 
+    @property
+    def call(self) -> Call:
+        """What was asked for."""
+        return self._call
+
     def start(self) -> None:
         """Send the request to the server."""
         executor, call = self._executor, self._call
@@ -231,6 +263,7 @@
         if reply is None:
             return
         load = self._executor.load
+        self._executor._tell("call overdue", self, Reason.DEADLINE_EXCEEDED.value)
         if sent:
             reply.failed(Reason.DEADLINE_EXCEEDED, load)
         else:
@@ -241,6 +274,7 @@
         reply, self._reply = self._reply, None
         executor = self._executor
         executor._counters.add("calls_refused", reason=reason.value)
+        executor._tell("call refused", self, reason.value, arrived=arrived, wait=wait)
         executor._ended(self, good=None)
         if reply is not None:
             reply.refused(reason, wait, arrived, executor.load)
@@ -272,6 +306,7 @@
         """Take that there will be no answer."""
         executor = self._executor
         executor._counters.add("server_failures", reason=failure.value)
+        executor._tell("call broke", self, failure.value)
         if failure is ExchangeFailure.UNREACHABLE:
             executor._note_gone()
             self.refuse(Reason.CONNECT_FAILED, 0.0, False)
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -304,8 +304,10 @@
         forwarder = self._forwarder
         took = forwarder.clock() - self._request.started
         forwarder.counters.observe("answer_seconds", took)
-        if status >= 500:
-            self._log("answered", status=status)
+        log = forwarder.log
+        wanted = log.wants_line() if status >= 500 else log.wants_sample()
+        if wanted:
+            self._log("request answered", status=status)
         self._request.respond(status, head, body)
 
     def refused(self, reason: Reason, wait: float, arrived: bool, load: Load) -> None:
@@ -385,7 +387,9 @@
         return allowed
 
     def _timed_out(self) -> None:
-        self._may_have_run |= self._server is not None
+        if self._server is not None:
+            self._may_have_run = True
+            self._excluded.add(self._server.id)
         self._withdraw()
         self._refuse(Reason.DEADLINE_EXCEEDED, 0.0)
 
@@ -421,7 +425,8 @@
     def _finish(self, reason: Reason, outcome: Outcome, retry_after: float) -> None:
         self._end()
         self._forwarder.counters.add("refused", reason=reason.value)
-        self._log("refused", reason=reason.value, outcome=outcome.value)
+        if self._forwarder.log.wants_line():
+            self._log("request refused", reason=reason.value, outcome=outcome.value)
         self._request.refuse(reason, outcome, retry_after)
 
     def _end(self) -> None:
@@ -430,10 +435,14 @@
             self._loop_timer.cancel()
             self._loop_timer = None
 
+    def _permits_left(self) -> float | None:
+        """Permits of the request's team on this host; None without a limit."""
+        if self._holder is None:
+            return None
+        return self._forwarder.permits.level(self._holder.team)
+
     def _log(self, event: str, **fields: object) -> None:
         forwarder, request = self._forwarder, self._request
-        if not forwarder.log.wants_line():
-            return
         beliefs = forwarder.beliefs
         route = self._entry.route.name if self._entry is not None else ""
         forwarder.log.write(
@@ -442,6 +451,8 @@
             route=route,
             service=self._service,
             team=self._holder.team.name if self._holder is not None else "",
+            permits=self._permits_left(),
+            servers=len(beliefs.directory.of_service(self._service)),
             tried=sorted(self._excluded),
             arrivals=self._arrivals,
             version=beliefs.version,
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -119,6 +119,7 @@
             clock,
             Suspects(SuspectSettings()),
         )
+        log = DecisionLog(settings.log_lines_per_second, clock, counters)
         self._executor = Executor(
             self._beliefs,
             SlotQueue(SlotSettings(), DEFAULT_SLOTS),
@@ -126,6 +127,7 @@
             header_names,
             clock,
             counters,
+            log,
         )
         peers_port = int(settings.peers.rpartition(":")[2])
         self._peers = Peers(
@@ -142,7 +144,6 @@
                 settings.retry_ratio, settings.retry_window, settings.retry_allowance
             )
         )
-        log = DecisionLog(settings.log_lines_per_second, clock, counters)
         forwarder = Forwarder(
             self._beliefs,
             self._selector,
--- a/damaskramp/relay/permits.py
+++ b/damaskramp/relay/permits.py
@@ -60,6 +60,11 @@
             self._counters.add("permits", reason="refused")
             done(False)
 
+    def level(self, team: Team) -> float | None:
+        """Permits in hand of a team; None where it has no limit."""
+        rate = self._rates.find(team.name)
+        return round(rate.level, 2) if rate is not None else None
+
     def lend(self, team: str, wanted: float) -> float:
         """Give permits to another host."""
         self._update()
