Found by reading: calls without teams, reload, news decoded once, suspects

- Where no team is configured every request was taken for a backend server's call, and went before others without any bound.
- Reload passed over changed bounds; now bounds and times change, addresses stay.
- A configuration told by six readers was decoded six times; now by its version.
- Suspected requests were refused with 422, which callers never try again, though a suspicion may be wrong; now 503, and not run.

--- a/damaskramp/dispatch/retry_budget.py
+++ b/damaskramp/dispatch/retry_budget.py
@@ -66,6 +66,13 @@
         self._requests: dict[ServiceName, _Counts] = {}
         self._repeats: dict[ServiceName, _Counts] = {}
 
+    def change(self, settings: RetryBudgetSettings) -> None:
+        """Take another bound; what was counted stays."""
+        if settings.window != self._settings.window:
+            self._requests.clear()
+            self._repeats.clear()
+        self._settings = settings
+
     def resize(self, hosts: int) -> None:
         """Set the number of hosts that share the allowance."""
         self._hosts = max(1, hosts)
--- a/damaskramp/relay/beliefs.py
+++ b/damaskramp/relay/beliefs.py
@@ -122,6 +122,10 @@
         own = self.own_server
         return own is not None and own.leaving
 
+    def change_key_seconds(self, key_seconds: float) -> None:
+        """Set the longest age of the configuration at which keys are honoured."""
+        self._key_seconds = key_seconds
+
     def on_configuration(self, callback: Callable[[FleetConfiguration], None]) -> None:
         """Call `callback` with each new configuration."""
         self._configuration.subscribe(callback)
--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -33,6 +33,10 @@
 }
 """Reasons of answers to requests that can't be taken; others are bad requests."""
 
+OWN_STATUSES = {Reason.QUARANTINED: 503}
+"""Statuses that differ from the product's own interface: callers of the platform never
+come back after a 422, and a suspicion may be wrong."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 STALLED_SECONDS = 20.0
@@ -107,7 +111,7 @@
 
     def refuse(self, reason: Reason, outcome: Outcome, retry_after: float = 0) -> None:
         """Send an answer of the system's own."""
-        status = STATUS_BY_REASON[reason]
+        status = OWN_STATUSES.get(reason, STATUS_BY_REASON[reason])
         self.respond_plain(status, reason, outcome, retry_after)
 
     def respond_plain(
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -226,8 +226,10 @@
 
     @property
     def _is_call(self) -> bool:
-        # Callers' requests carry a key; what comes without one is a call that the
-        # backend server of this host makes while it runs a request.
+        # Where there are teams, callers' requests carry a key; what comes without one
+        # is a call that the backend server of this host makes while it runs a request.
+        if not self._forwarder.beliefs.configuration.teams:
+            return False
         return not self._request.keyed
 
     @property
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 
 from damaskramp.core import (
     Counters,
@@ -47,6 +48,23 @@
 """Part of the time for a withdrawn key that is kept back, in seconds. A watch may be
 told a change a second late; the rest is for clocks and for the way to the server."""
 
+LEAST_KEY_SECONDS = 0.5
+"""Shortest age at which keys are honoured; below it no key would ever work."""
+
+FIXED_SETTINGS = (
+    "host",
+    "zone",
+    "callers",
+    "peers",
+    "readiness",
+    "metrics",
+    "backend_service",
+    "backend_address",
+    "platform_address",
+    "log_lines_per_second",
+)
+"""Settings that a running node does not change."""
+
 WATCH_SHARE = 0.2
 """Wait of one watch as a part of the time for which keys are honoured: five proofs in
 that time, so that a lost answer costs nothing."""
@@ -109,7 +127,7 @@
         random_source = random.Random()
         names = ReservedNames(header_names)
         host = settings.peers.rpartition(":")[0]
-        key_seconds = max(0.5, settings.revoke_seconds - KEY_MARGIN)
+        key_seconds = _key_seconds(settings)
         self._beliefs = Beliefs(
             host,
             ZoneName(settings.zone),
@@ -139,11 +157,7 @@
         self._selector = ServerSelector(
             SelectionSettings(), self._beliefs.zone, random_source
         )
-        self._budget = RetryBudget(
-            RetryBudgetSettings(
-                settings.retry_ratio, settings.retry_window, settings.retry_allowance
-            )
-        )
+        self._budget = RetryBudget(_budget_settings(settings))
         forwarder = Forwarder(
             self._beliefs,
             self._selector,
@@ -244,8 +258,20 @@
         await asyncio.sleep(0)
 
     def reload(self, settings: RelaySettings) -> None:
-        """Take settings that may change while running."""
-        LOGGER.info("settings read again", extra={"host": settings.host})
+        """Take the settings that may change while running: bounds and times.
+
+        Addresses, host and service stay those of the start.
+        """
+        kept = replace(
+            settings,
+            **{name: getattr(self._settings, name) for name in FIXED_SETTINGS},
+        )
+        if kept != settings:
+            LOGGER.warning("some settings take effect at the next start only")
+        self._settings = kept
+        self._beliefs.change_key_seconds(_key_seconds(kept))
+        self._budget.change(_budget_settings(kept))
+        LOGGER.info("settings read again", extra={"host": kept.host})
 
     def _open_work(self) -> int:
         return self._listener.unanswered + self._executor.running
@@ -294,3 +320,13 @@
         self._budget.resize(len(directory.hosts()))
         self._selector.forget({server.id for server in directory.servers})
         self._peers.gossip()
+
+
+def _key_seconds(settings: RelaySettings) -> float:
+    return max(LEAST_KEY_SECONDS, settings.revoke_seconds - KEY_MARGIN)
+
+
+def _budget_settings(settings: RelaySettings) -> RetryBudgetSettings:
+    return RetryBudgetSettings(
+        settings.retry_ratio, settings.retry_window, settings.retry_allowance
+    )
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -130,6 +130,7 @@
         configuration = changes.configuration
         news = (
             Kind.NEWS,
+            self._beliefs.version,
             configuration.document if configuration is not None else b"",
             [_wire(server) for server in changes.servers],
             list(changes.removed),
@@ -140,8 +141,9 @@
 
     def news(self, message: list) -> None:
         """Take changes that a peer has read."""
-        _, document, servers, removed = message
-        self._take_document(document)
+        _, version, document, servers, removed = message
+        if version > self._beliefs.version:
+            self._take_document(document)
         self._beliefs.directory.merge(
             (BackendServer(*server) for server in servers),
             ((name, change) for name, change in removed),
@@ -209,7 +211,8 @@
         ) = message
         self._note_peer(host, leaving)
         beliefs = self._beliefs
-        self._take_document(document)
+        if version > beliefs.version:
+            self._take_document(document)
         # The other's proof is one of its version; it proves this node's belief only
         # if that is no older.
         if age >= 0 and beliefs.version >= version:
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -1,6 +1,7 @@
 """What nodes believe, how old it may be, and how it reaches nodes without the store."""
 
 import asyncio
+from dataclasses import replace
 
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, route
 
@@ -151,6 +152,24 @@
         self.assertEqual((503, 0), (status, seen))
 
 
+class TestReload(RelayTestCase):
+    def test_bounds_change_and_addresses_stay(self):
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            changed = replace(
+                fleet.settings(0),
+                revoke_seconds=9.0,
+                retry_ratio=0.0,
+                callers="1.1.1.1:1",
+            )
+            node.reload(changed)
+            kept = node._settings
+            status = (await fleet.ask("/a"))[0]
+            return status, kept.revoke_seconds, kept.callers == "1.1.1.1:1"
+
+        self.assertEqual((200, 9.0, False), self.play(scenario))
+
+
 class TestStop(RelayTestCase):
     def test_planned_stop_cuts_nothing(self):
         async def slow(request):
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -133,6 +133,14 @@
 
         self.assertEqual([f"q{n}" for n in range(12)], self.play(scenario))
 
+    def test_without_teams_every_request_is_a_new_one(self):
+        async def scenario(fleet):
+            status = (await fleet.ask("/a", key=""))[0]
+            return status, field(fleet.servers[0].seen[0], "x-tenant")
+
+        config = configuration(1, [route("svc", "/", public=False)])
+        self.assertEqual((200, None), self.play(scenario, config=config))
+
     def test_head_is_answered_without_a_body(self):
         async def scenario(fleet):
             reader, writer = await fleet.connect()
