Read-through: requests of callers and outgoing heads in modules of their own

Found by reading: a lost link reported a load of nobody's, so that its server counted as having one slot after it was back; a key that the executing node does not hold was told as 401 after three refusals, though the entry node may be the newer of the two: now 503, not run, come back.

--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -6,25 +6,18 @@
 """
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
-from http import HTTPStatus
 
 import httptools
-import orjson
 
-from damaskramp.core import STATUS_BY_REASON, Counters, Outcome, Reason
+from damaskramp.core import Counters, Outcome, Reason
 from damaskramp.fleet.model import CallerLimits
 from damaskramp.http import close_lingering
-from damaskramp.relay.headers import Field, ReservedNames
+from damaskramp.relay.caller_request import AnswerSink, CallerRequest, RequestHandler
+from damaskramp.relay.headers import ReservedNames
 
-__all__ = ["CallerConnection", "CallerListener", "CallerRequest", "RequestHandler"]
-
-STATUS_LINES = {
-    status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
-    for status in HTTPStatus
-}
+__all__ = ["CallerConnection", "CallerListener"]
 
 PROBLEM_REASONS = {
     413: Reason.TOO_LARGE,
@@ -33,10 +26,6 @@
 }
 """Reasons of answers to requests that can't be taken; others are bad requests."""
 
-OWN_STATUSES = {Reason.QUARANTINED: 503}
-"""Statuses that differ from the product's own interface: callers of the platform never
-come back after a 422, and a suspicion may be wrong."""
-
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 STALLED_SECONDS = 20.0
@@ -50,95 +39,6 @@
 """Requests that may wait on a connection behind one that is unanswered."""
 
 
-class CallerRequest:
-    """One request of a caller.
-
-    Attributes
-    ----------
-    key : bytes
-        Value of the key's field as sent; empty where there is none.
-    keyed : bool
-        Whether the field of the key was there.
-    deadline_ms : int or None
-        Milliseconds that the caller waits.
-    on_gone : callable or None
-        Called where the caller leaves before the answer.
-    """
-
-    __slots__ = (
-        "body",
-        "chunks",
-        "connection",
-        "deadline_ms",
-        "head_bytes",
-        "headers",
-        "host",
-        "key",
-        "keyed",
-        "last",
-        "method",
-        "on_gone",
-        "path",
-        "problem",
-        "request_id",
-        "started",
-        "target",
-    )
-
-    def __init__(self, connection: "CallerConnection") -> None:
-        self.connection = connection
-        self.headers: list[Field] = []
-        self.chunks: list[bytes] = []
-        self.method = b""
-        self.target = b""
-        self.path = ""
-        self.host = ""
-        self.body = b""
-        self.key = b""
-        self.keyed = False
-        self.request_id = b""
-        self.deadline_ms: int | None = None
-        self.last = False
-        self.problem = 0
-        self.head_bytes = 0
-        self.started = 0.0
-        self.on_gone: Callable[[], None] | None = None
-
-    def respond(self, status: int, head: bytes, body: bytes) -> None:
-        """Send a backend server's answer; `head` is its header block."""
-        line = STATUS_LINES.get(status) or b"HTTP/1.1 %d Status\r\n" % status
-        self.connection.respond(self, line + head, body)
-
-    def refuse(self, reason: Reason, outcome: Outcome, retry_after: float = 0) -> None:
-        """Send an answer of the system's own."""
-        status = OWN_STATUSES.get(reason, STATUS_BY_REASON[reason])
-        self.respond_plain(status, reason, outcome, retry_after)
-
-    def respond_plain(
-        self, status: int, reason: Reason, outcome: Outcome, retry_after: float = 0
-    ) -> None:
-        """Send an answer of the system's own with a status."""
-        document = {"outcome": outcome.value, "code": reason.value}
-        head = b"Content-Type: application/json\r\n"
-        if self.request_id:
-            name = self.connection.names.request_id
-            head += b"%b: %b\r\n" % (name, self.request_id)
-        if retry_after > 0:
-            document["retry_after_seconds"] = round(retry_after, 3)
-            head += b"Retry-After: %.3f\r\n" % retry_after
-        body = orjson.dumps(document)
-        head += b"Content-Length: %d\r\n" % len(body)
-        self.respond(status, head, body)
-
-
-class RequestHandler(ABC):
-    """Takes callers' requests."""
-
-    @abstractmethod
-    def handle(self, request: CallerRequest) -> None:
-        """Take a whole request; its answer comes by `CallerRequest.respond`."""
-
-
 class CallerListener:
     """What all callers' connections share."""
 
@@ -185,7 +85,7 @@
             connection.abort()
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol, AnswerSink):
     """One connection of a caller."""
 
     def __init__(self, listener: CallerListener) -> None:
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -46,7 +46,9 @@
         """Take the server's answer."""
 
     @abstractmethod
-    def refused(self, reason: Reason, wait: float, arrived: bool, load: Load) -> None:
+    def refused(
+        self, reason: Reason, wait: float, arrived: bool, load: Load | None
+    ) -> None:
         """Take that the call has not run.
 
         Parameters
@@ -55,10 +57,12 @@
             Seconds until there is likely room.
         arrived : bool
             Whether it has reached the server, which then refused it.
+        load : Load or None
+            Load of the server; None where its node could not be reached.
         """
 
     @abstractmethod
-    def failed(self, reason: Reason, load: Load) -> None:
+    def failed(self, reason: Reason, load: Load | None) -> None:
         """Take that the call may have run, without an answer to pass on."""
 
 
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -4,8 +4,6 @@
 import random
 from collections.abc import Callable
 
-import xxhash
-
 from damaskramp.core import Counters, Outcome, Reason
 from damaskramp.dispatch import (
     Load,
@@ -16,11 +14,12 @@
 )
 from damaskramp.fleet import BackendServer, ServerId
 from damaskramp.relay.beliefs import Beliefs, KeyHolder
-from damaskramp.relay.caller_connection import CallerRequest, RequestHandler
+from damaskramp.relay.caller_request import CallerRequest, RequestHandler
 from damaskramp.relay.decision_log import DecisionLog
 from damaskramp.relay.execution import CallReply, Executor
-from damaskramp.relay.headers import HeaderNames, ReservedNames, remaining_fields
+from damaskramp.relay.headers import HeaderNames
 from damaskramp.relay.messages import Call
+from damaskramp.relay.outgoing import OutgoingHeaders, OutgoingRequest
 from damaskramp.relay.peers import Peers
 from damaskramp.relay.permits import Permits
 
@@ -40,6 +39,10 @@
 LEAST_ATTEMPT_SECONDS = 0.02
 """Remaining time below which a request is not sent again."""
 
+SHUN_SECONDS = 0.3
+"""Time for which a server that could not be reached is avoided: as long as a link takes
+to be tried again."""
+
 UNKNOWN_REASONS = frozenset(
     {Reason.ANSWER_LOST, Reason.BACKEND_SERVER_LOST, Reason.DEADLINE_EXCEEDED}
 )
@@ -69,8 +72,8 @@
         self.permits = permits
         self.executor = executor
         self.peers = peers
-        self.header_names = header_names
-        self.names = ReservedNames(header_names)
+        self.headers = OutgoingHeaders(header_names, beliefs.service)
+        self.key_scheme = header_names.key_scheme
         self.clock = clock
         self.counters = counters
         self.log = log
@@ -90,17 +93,14 @@
         "_deadline",
         "_entry",
         "_excluded",
-        "_fingerprint",
-        "_fixed",
         "_forwarder",
         "_holder",
-        "_local",
         "_loop_timer",
         "_may_have_run",
+        "_outgoing",
         "_ready",
         "_refusals",
         "_request",
-        "_sent_at",
         "_server",
         "_service",
         "_target",
@@ -122,12 +122,9 @@
         self._wait = 0.0
         self._cancel: Callable[[], None] | None = None
         self._loop_timer: asyncio.TimerHandle | None = None
-        self._fixed: tuple[bytes, bytes] | None = None
-        self._fingerprint = 0
+        self._outgoing: OutgoingRequest | None = None
         self._deadline = 0.0
         self._target = 0.0
-        self._sent_at = 0.0
-        self._local = False
 
     def start(self) -> None:
         """Check the request, then send it on."""
@@ -167,7 +164,7 @@
                 self._deny(Reason.KEY_MISSING)
                 return False
             return True
-        scheme = forwarder.header_names.key_scheme
+        scheme = forwarder.key_scheme
         key = request.key
         if key[: len(scheme)].lower() == scheme.lower():
             self._holder = beliefs.key(key[len(scheme) :].strip())
@@ -199,23 +196,9 @@
         self._service = self._entry.next_service()
         forwarder.budget.request(self._service, forwarder.clock())
         forwarder.counters.add("requests", reason=self._service)
-        fields = remaining_fields(request.headers, forwarder.names.not_passed_on)
-        head = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
-        head += [b"%b: %b\r\n" % field[1:] for field in fields]
-        names = forwarder.header_names
-        calling = forwarder.beliefs.service.encode()
-        head.append(b"%b: %b\r\n" % (names.calling_service, calling))
-        team = b""
-        if self._holder is not None:
-            team = self._holder.team.name.encode()
-            head.append(b"%b: %b\r\n" % (names.team, team))
-        body = request.body
-        if body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
-            head.append(b"Content-Length: %d\r\n" % len(body))
-        head.append(names.expected_server + b": ")
-        self._fixed = (b"".join(head), body)
-        parts = (team, calling, request.method, request.target, body)
-        self._fingerprint = xxhash.xxh3_64_intdigest(b"\0".join(parts))
+        holder = self._holder
+        team = holder.team.name if holder is not None else None
+        self._outgoing = OutgoingRequest(request, forwarder.headers, team)
         self._send()
 
     @property
@@ -251,11 +234,9 @@
             self._refuse(reason, max(self._wait, LEAST_ATTEMPT_SECONDS))
             return
         self._server = server
-        self._sent_at = now
         call = self._call(server, now)
-        self._local = server.host == forwarder.beliefs.host
         forwarder.selector.sent(server)
-        if self._local:
+        if server.host == forwarder.beliefs.host:
             cancel = forwarder.executor.submit(call, self)
         else:
             cancel = forwarder.peers.call(server.host, call, self)
@@ -265,14 +246,13 @@
 
     def _call(self, server: BackendServer, now: float) -> Call:
         request = self._request
-        head, body = self._fixed
-        holder = self._holder
+        outgoing, holder = self._outgoing, self._holder
         return Call(
             0,
             server.id,
             request.request_id,
-            b"%b%b\r\n" % (head, server.id.encode()),
-            body,
+            outgoing.head_for(server.id),
+            request.body,
             request.method == b"HEAD",
             self._entry.route.idempotent,
             self._deadline - now,
@@ -281,7 +261,7 @@
             self._is_call,
             self._entry.route.name,
             holder.digest if holder is not None else b"",
-            self._fingerprint,
+            outgoing.fingerprint,
         )
 
     def answered(self, status: int, head: bytes, body: bytes, load: Load) -> None:
@@ -309,7 +289,9 @@
             self._log("request answered", status=status)
         self._request.respond(status, head, body)
 
-    def refused(self, reason: Reason, wait: float, arrived: bool, load: Load) -> None:
+    def refused(
+        self, reason: Reason, wait: float, arrived: bool, load: Load | None
+    ) -> None:
         """Try another server; this one has not run the request."""
         server = self._server
         if not self._over(load, failed=None):
@@ -319,13 +301,15 @@
         self._refusals += 1
         self._wait = max(self._wait, wait)
         if reason is Reason.CONNECT_FAILED:
-            forwarder.selector.shun(server, 0.3, now)
+            forwarder.selector.shun(server, SHUN_SECONDS, now)
         if reason is Reason.QUARANTINED:
             self._refuse(reason, 0.0)
             return
         if reason is Reason.OVERLOADED and not arrived:
             forwarder.selector.refused(server, self._rank, now)
-        self._excluded.add(server.id)
+        if reason is Reason.KEY_WITHDRAWN:
+            # One of the two nodes is behind; which of them is not known here.
+            reason, self._wait = Reason.BELIEF_TOO_OLD, MISSING_BELIEF_SECONDS
         if arrived:
             self._arrivals += 1
             if not self._within_budget():
@@ -337,14 +321,14 @@
             return
         self._send()
 
-    def failed(self, reason: Reason, load: Load) -> None:
+    def failed(self, reason: Reason, load: Load | None) -> None:
         """Try again where the request may run twice; else tell that it is unknown."""
         server = self._server
         if not self._over(load, failed=True):
             return
         forwarder = self._forwarder
         if reason is Reason.BACKEND_SERVER_LOST:
-            forwarder.selector.shun(server, 0.5, forwarder.clock())
+            forwarder.selector.shun(server, SHUN_SECONDS, forwarder.clock())
         self._arrivals += 1
         self._may_have_run = True
         if self._may_repeat():
@@ -352,7 +336,7 @@
             return
         self._refuse(reason, 0.0)
 
-    def _over(self, load: Load, failed: bool | None) -> bool:
+    def _over(self, load: Load | None, failed: bool | None) -> bool:
         """Note the end of an attempt; False where nobody waits for it."""
         server, self._server = self._server, None
         self._cancel = None
@@ -360,7 +344,8 @@
             return False
         forwarder = self._forwarder
         forwarder.selector.ended(server, failed)
-        forwarder.selector.reported(server, load, forwarder.clock())
+        if load is not None:
+            forwarder.selector.reported(server, load, forwarder.clock())
         self._excluded.add(server.id)
         return True
 
--- /dev/null
+++ b/damaskramp/relay/outgoing.py
@@ -0,0 +1,68 @@
+"""The request as the backend server gets it, written once by the entry node."""
+
+import xxhash
+
+from damaskramp.core import ServiceName, TeamId
+from damaskramp.fleet import ServerId
+from damaskramp.relay.caller_request import CallerRequest
+from damaskramp.relay.headers import HeaderNames, ReservedNames, remaining_fields
+
+__all__ = ["OutgoingHeaders", "OutgoingRequest"]
+
+BODILESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
+"""Methods whose requests need no length where they have no body."""
+
+
+class OutgoingHeaders:
+    """Header fields that this host sets on every request.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Service of this host, where the requests begin.
+    """
+
+    def __init__(self, names: HeaderNames, service: ServiceName) -> None:
+        self.names = names
+        self.not_passed_on = ReservedNames(names).not_passed_on
+        self.service = service.encode()
+
+
+class OutgoingRequest:
+    """Head and fingerprint of one request.
+
+    Parameters
+    ----------
+    team : TeamId or None
+        Team of the caller's key; None without a key.
+    """
+
+    __slots__ = ("_head", "fingerprint")
+
+    def __init__(
+        self, request: CallerRequest, headers: OutgoingHeaders, team: TeamId | None
+    ) -> None:
+        names = headers.names
+        fields = remaining_fields(request.headers, headers.not_passed_on)
+        parts = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
+        parts += [b"%b: %b\r\n" % field[1:] for field in fields]
+        parts.append(b"%b: %b\r\n" % (names.calling_service, headers.service))
+        team_name = team.encode() if team is not None else b""
+        if team_name:
+            parts.append(b"%b: %b\r\n" % (names.team, team_name))
+        if request.body or request.method not in BODILESS_METHODS:
+            parts.append(b"Content-Length: %d\r\n" % len(request.body))
+        parts.append(names.expected_server + b": ")
+        self._head = b"".join(parts)
+        told_apart = (
+            team_name,
+            headers.service,
+            request.method,
+            request.target,
+            request.body,
+        )
+        self.fingerprint = xxhash.xxh3_64_intdigest(b"\0".join(told_apart))
+
+    def head_for(self, server: ServerId) -> bytes:
+        """Head for a server, without the deadline and the blank line."""
+        return b"%b%b\r\n" % (self._head, server.encode())
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -257,12 +257,11 @@
         calls, self._calls = self._calls, {}
         loans, self._loans = self._loans, {}
         self._on_down(self._host, cause, len(calls))
-        load = Load(0, 0, 1, 0.0)
         for reply in calls.values():
             if sent:
-                reply.failed(Reason.BACKEND_SERVER_LOST, load)
+                reply.failed(Reason.BACKEND_SERVER_LOST, None)
             else:
-                reply.refused(Reason.CONNECT_FAILED, 0.0, False, load)
+                reply.refused(Reason.CONNECT_FAILED, 0.0, False, None)
         for done in loans.values():
             done(0.0)
 
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from damaskramp.core import Counters, Reason
-from damaskramp.dispatch import Death, Load
+from damaskramp.dispatch import Death
 from damaskramp.fleet import BackendServer, FleetSource, SourceChanges, SourceError
 from damaskramp.relay.beliefs import Beliefs
 from damaskramp.relay.execution import CallReply
@@ -77,7 +77,7 @@
         """Send a call to another node; return how to cancel it."""
         link = self._link(host)
         if link is None:
-            reply.refused(Reason.CONNECT_FAILED, 0.0, False, Load(0, 0, 1, 0.0))
+            reply.refused(Reason.CONNECT_FAILED, 0.0, False, None)
             return _nothing
         return link.call(call, reply)
 
