--- a/damaskramp/core/__init__.py
+++ b/damaskramp/core/__init__.py
@@ -2,6 +2,7 @@
 
 from damaskramp.core.blackboard import Blackboard, Section
 from damaskramp.core.counters import Counters
+from damaskramp.core.durations import parse_seconds
 from damaskramp.core.findings import (
     Finding,
     Findings,
@@ -48,4 +49,5 @@
     "VirtualTimers",
     "ZoneName",
     "host_generator",
+    "parse_seconds",
 ]
--- a/damaskramp/platform/decode.py
+++ b/damaskramp/platform/decode.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from damaskramp.core import parse_seconds
 from damaskramp.core.ids import BundleVersion, ServiceName, TeamId, ZoneName
 from damaskramp.fleet.model import (
     BackendServer,
@@ -27,9 +28,6 @@
 KINDS = {"idempotent": True, "non_idempotent": False}
 """Kind of a route, and whether its requests may run more than once."""
 
-UNITS = {"ms": 0.001, "s": 1.0}
-"""Seconds of each unit of time."""
-
 
 class DecodeError(ValueError):
     """A body can't be read; the message names the field."""
@@ -208,13 +206,7 @@
 
 
 def _seconds(value: object, key: str) -> float:
-    text = value if isinstance(value, str) else ""
-    for unit, seconds in UNITS.items():
-        number = text.removesuffix(unit)
-        if number == text:
-            continue
-        try:
-            return float(number) * seconds
-        except ValueError:
-            continue
-    raise DecodeError(f"{key}: {value!r} is not a time in ms or s")
+    seconds = parse_seconds(value)
+    if seconds is None:
+        raise DecodeError(f"{key}: {value!r} is not a time in ms or s")
+    return seconds
--- a/damaskramp/relay/settings.py
+++ b/damaskramp/relay/settings.py
@@ -13,12 +13,9 @@
 
 from expression import Error, Ok, Result
 
-from damaskramp.core import Findings, Place
+from damaskramp.core import Findings, Place, parse_seconds
 
-__all__ = ["RelaySettings", "is_relay_document", "load_relay_settings", "parse_seconds"]
-
-UNITS = {"ms": 0.001, "s": 1.0}
-"""Seconds of each unit of time."""
+__all__ = ["RelaySettings", "is_relay_document", "load_relay_settings"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,25 +126,6 @@
 )
 
 
-def parse_seconds(value: object) -> float | None:
-    """Seconds of a number, or of a text with the unit ``ms`` or ``s``.
-
-    Examples
-    --------
-    >>> parse_seconds("1500ms"), parse_seconds(2), parse_seconds("soon")
-    (1.5, 2.0, None)
-    """
-    if isinstance(value, int | float) and not isinstance(value, bool):
-        return float(value)
-    if not isinstance(value, str):
-        return None
-    for unit, seconds in UNITS.items():
-        number = value.removesuffix(unit)
-        if number != value and re.fullmatch(r"\d+(\.\d+)?", number):
-            return float(number) * seconds
-    return None
-
-
 def _check(value: object, kind: str) -> tuple[Any, str]:
     if kind == "text":
         good = isinstance(value, str) and value != ""
