Closing an idle link loses no host

Cause, found by reading: a link closed after 30 s of rest was told like a lost one, so that its host got no calls until a probe reached it, and a line said that it was lost. Test: failed before (host among the unreachable).

--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -210,7 +210,8 @@
         return bool(self._calls) and silent > PROBE_SECONDS
 
     def close(self) -> None:
-        """Close the link."""
+        """Close the link, which is no sign that the other node is lost."""
+        self._on_down = _no_loss
         self._down("closed", sent=True)
 
     def received(self, message: list) -> None:
@@ -381,3 +382,7 @@
 
 def _wire(load: Load) -> tuple[int, int, int, float]:
     return load.running, load.waiting, load.limit, load.service_time
+
+
+def _no_loss(host: str, cause: str, open_calls: int) -> None:
+    """Take the end of a link that was closed here."""
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -124,6 +124,7 @@
         now = self._clock()
         for link in list(self._links.values()):
             if not link.open_calls and now - link.used > IDLE_SECONDS:
+                del self._links[link.host]
                 link.close()
 
     def check_links(self) -> None:
@@ -186,8 +187,9 @@
 
     def close(self) -> None:
         """Close all links."""
-        for link in list(self._links.values()):
+        for link in self._links.values():
             link.close()
+        self._links.clear()
 
     def pong(self, ping: list) -> tuple:
         """Fields of the answer to a ping."""
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -162,6 +162,22 @@
         self.assertEqual((503, 0), (status, seen))
 
 
+class TestLinks(RelayTestCase):
+    def test_closing_an_idle_link_loses_no_host(self):
+        async def scenario(fleet):
+            peers = fleet.nodes[0]._peers
+            await fleet.ask("/a")
+            link = peers._links[fleet.host(1)]
+            link.used -= 60.0
+            peers.gossip()
+            fresh = peers._links.get(fleet.host(1))
+            return fresh is link, set(peers._unreachable), (await fleet.ask("/a"))[0]
+
+        config = configuration(1, [route("far", "/")], CLUBS)
+        got = self.play(scenario, ("svc", "far"), config)
+        self.assertEqual((False, set(), 200), got)
+
+
 class TestReload(RelayTestCase):
     def test_bounds_change_and_addresses_stay(self):
         async def scenario(fleet):
