Checks that could not fail, and addresses shared between test processes

Change: pages of one entry; a server that answers before it reads a 20 MB body; a network for each test process. Assertions are stricter, none is dropped.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -8,6 +8,7 @@
 import base64
 import contextlib
 import itertools
+import os
 from urllib.parse import parse_qs
 
 import orjson
@@ -26,6 +27,9 @@
 
 JSON = ((b"content-type", b"application/json"),)
 LONGEST_SECONDS = 20.0
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+"""Test processes that run at the same time must not share addresses."""
+
 _networks = itertools.count(1)
 
 
@@ -247,10 +251,10 @@
 class RelayFleet:
     """A store, hosts with a node and a server each, and callers."""
 
-    def __init__(self, services, scripts=None, revoke_seconds=5.0):
+    def __init__(self, services, scripts=None, revoke_seconds=5.0, page=50):
         self._network = next(_networks) % 250
         self.services = services
-        self.store = StoreStandIn()
+        self.store = StoreStandIn(page)
         self.servers = [ServerStandIn(script) for script in scripts or [None] * 9]
         self.nodes = []
         self.counters = []
@@ -258,17 +262,18 @@
         self._store_address = ""
 
     def host(self, n):
-        return f"127.77.{self._network}.{n + 1}"
+        return f"127.{77 + WORKER}.{self._network}.{n + 1}"
 
     def address(self, n):
         return f"{self.host(n)}:8105"
 
     async def start(self, config):
         self.store.put("op/config", config)
-        self._store_address = await self.store.start(f"127.77.{self._network}.250")
+        self._store_address = await self.store.start(self.host(249))
         for n, _ in enumerate(self.services):
             await self.servers[n].start(self.address(n))
             self.list_server(n)
+        for n, _ in enumerate(self.services):
             await self.start_node(n)
         await self.until(lambda: all(node.ready for node in self.nodes))
         beliefs = [node._beliefs for node in self.nodes]
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -161,13 +161,23 @@
 
 class TestEarlyAnswer(RelayTestCase):
     def test_connection_with_a_part_unsent_is_not_reused(self):
-        async def script(request):
-            await asyncio.sleep(0)
-            return ok(request)
+        async def answer_early(reader, writer):
+            # Answers by the head alone and never reads the body.
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.write(ok(head))
+            await writer.drain()
+            await asyncio.sleep(0.5)
 
         async def scenario(fleet):
-            got = await fleet.ask("/a", method="POST", body=b"x" * 90_000)
-            again = await fleet.ask("/a")
-            return got[0], again[0]
-
-        self.assertEqual((200, 200), self.play(scenario, scripts=[script]))
+            server = fleet.servers[0]
+            await server.stop()
+            host, _, port = fleet.address(0).rpartition(":")
+            early = await asyncio.start_server(answer_early, host, int(port))
+            got = await fleet.ask("/a", method="POST", body=b"x" * 20_000_000)
+            idle = len(fleet.nodes[0]._executor._connections._idle)
+            early.close()
+            return got[0], idle
+
+        config = configuration(1, [route("svc", "/")], CLUBS)
+        config["limits"]["max-body-bytes"] = 30_000_000
+        self.assertEqual((200, 0), self.play(scenario, config=config))
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -132,10 +132,8 @@
         async def scenario(fleet):
             return len(fleet.nodes[0]._beliefs.directory.servers)
 
-        def fleet_of(count):
-            return ["svc"] * count
-
-        self.assertEqual(4, self.play(scenario, fleet_of(4)))
+        # Four entries in pages of one; a node that starts reads them by range.
+        self.assertEqual(4, self.play(scenario, ["svc"] * 4, page=1))
 
 
 class TestLeaving(RelayTestCase):
