Calls of repeated runs count against the retry budget

A run that repeats another makes its calls once more; those count as repeats below, and nobody counted them.

Change: a call carries the probability that its run is a repeat; a host keeps the mean of the runs at its backend server, and counts that share of each call made there.

--- a/damaskramp/dispatch/__init__.py
+++ b/damaskramp/dispatch/__init__.py
@@ -2,7 +2,11 @@
 
 from damaskramp.dispatch.comeback import comeback_seconds
 from damaskramp.dispatch.lenders import Lenders, LenderSettings
-from damaskramp.dispatch.retry_budget import RetryBudget, RetryBudgetSettings
+from damaskramp.dispatch.retry_budget import (
+    RepeatShare,
+    RetryBudget,
+    RetryBudgetSettings,
+)
 from damaskramp.dispatch.route_times import RouteTimes
 from damaskramp.dispatch.routes import RouteEntry, RouteTable
 from damaskramp.dispatch.selection import SelectionSettings, ServerSelector
@@ -15,6 +19,7 @@
     "LenderSettings",
     "Lenders",
     "Load",
+    "RepeatShare",
     "RetryBudget",
     "RetryBudgetSettings",
     "RouteEntry",
--- a/damaskramp/dispatch/retry_budget.py
+++ b/damaskramp/dispatch/retry_budget.py
@@ -3,19 +3,29 @@
 The bound holds for each service over all hosts in a sliding window. Each host keeps
 within its own requests' part of it and an equal part of the fixed allowance, so that
 no message is needed and a cut changes nothing.
+
+Load this answers: a call graph whose upper services are repeated. A run that is itself
+a repeat makes all its calls once more, and these count as repeats at the services
+below. Nothing says which run a call belongs to; but a host knows what share of the
+runs at its backend server are repeats, and counts that share of each call.
 """
 
 from dataclasses import dataclass
 
 from damaskramp.core.ids import ServiceName
 
-__all__ = ["RetryBudget", "RetryBudgetSettings"]
+__all__ = ["RepeatShare", "RetryBudget", "RetryBudgetSettings"]
 
 PARTS = 20
 """Parts that a window is counted in; one part more than the window is looked at, so
 that the coarse count never allows more than an exact one."""
 
 
+SHARE_SMOOTHING = 0.02
+"""Weight of the newest run in the share of repeats: the last fifty count, about as many
+as run at once."""
+
+
 @dataclass(frozen=True, slots=True)
 class RetryBudgetSettings:
     """The published bound and how much of it is used.
@@ -29,9 +39,9 @@
     allowance : float
         Repeats allowed besides, over all hosts.
     used_ratio, used_allowance : float
-        Parts of the bound that hosts spend themselves. A repeated request repeats its
-        calls too, which count at the services below; a fleet that shrinks leaves
-        larger parts to hosts for a while.
+        Parts of the bound that hosts spend themselves. The share of runs that are
+        repeats is a mean, and a fleet that shrinks leaves larger parts to hosts for a
+        while.
     """
 
     ratio: float = 0.2
@@ -45,18 +55,43 @@
     """Events in parts of a window."""
 
     def __init__(self) -> None:
-        self._parts: dict[int, int] = {}
+        self._parts: dict[int, float] = {}
 
-    def add(self, part: int) -> None:
-        self._parts[part] = self._parts.get(part, 0) + 1
+    def add(self, part: int, amount: float = 1.0) -> None:
+        self._parts[part] = self._parts.get(part, 0.0) + amount
         if len(self._parts) > 4 * PARTS:
             for old in [key for key in self._parts if key < part - 3 * PARTS]:
                 del self._parts[old]
 
-    def sum(self, first: int, last: int) -> int:
+    def sum(self, first: int, last: int) -> float:
         return sum(n for key, n in self._parts.items() if first <= key <= last)
 
 
+class RepeatShare:
+    """Share of a backend server's runs that repeat others.
+
+    Examples
+    --------
+    >>> share = RepeatShare()
+    >>> for _ in range(200):
+    ...     share.started(1.0)
+    >>> share.value > 0.95
+    True
+    """
+
+    def __init__(self) -> None:
+        self._value = 0.0
+
+    @property
+    def value(self) -> float:
+        """Probability that a running request is a repeat, 0 to 1."""
+        return self._value
+
+    def started(self, repeat_share: float) -> None:
+        """Note a run, and the probability that it is a repeat."""
+        self._value += SHARE_SMOOTHING * (repeat_share - self._value)
+
+
 class RetryBudget:
     """Requests and repeats of one host, by service."""
 
@@ -77,9 +112,20 @@
         """Set the number of hosts that share the allowance."""
         self._hosts = max(1, hosts)
 
-    def request(self, service: ServiceName, now: float) -> None:
-        """Count a request for a service."""
-        self._counts(self._requests, service).add(self._part(now))
+    def request(
+        self, service: ServiceName, now: float, repeat_share: float = 0.0
+    ) -> None:
+        """Count a request for a service.
+
+        Parameters
+        ----------
+        repeat_share : float
+            Probability that it is a call of a run that was itself a repeat, 0 to 1.
+        """
+        part = self._part(now)
+        self._counts(self._requests, service).add(part)
+        if repeat_share > 0:
+            self._counts(self._repeats, service).add(part, repeat_share)
 
     def spend(self, service: ServiceName, now: float) -> bool:
         """Spend one repeat; False where the budget has none left."""
--- a/damaskramp/dispatch/tests/test_decisions.py
+++ b/damaskramp/dispatch/tests/test_decisions.py
@@ -9,6 +9,7 @@
 from damaskramp.dispatch import (
     Death,
     Load,
+    RepeatShare,
     RetryBudget,
     RetryBudgetSettings,
     SelectionSettings,
@@ -124,6 +125,55 @@
             self.assertLessEqual(held, 0.2 * max(first, before) + 12.0)
 
 
+class TestRepeatedRuns(TestCase):
+    """A chain in which each repeated run makes its calls once more."""
+
+    CALLS = {"front": [("middle", 3)], "middle": [("deep", 2)], "deep": []}
+    HOSTS = 4
+
+    def play(self, seed):
+        source = random.Random(seed)
+        settings = RetryBudgetSettings(0.2, 10.0, 48.0)
+        hosts = range(self.HOSTS)
+        budgets = {(s, h): RetryBudget(settings) for s in self.CALLS for h in hosts}
+        for budget in budgets.values():
+            budget.resize(len(budgets))
+        shares = {place: RepeatShare() for place in budgets}
+        arrivals = {service: [] for service in self.CALLS}
+
+        def run(service, is_repeat, share, now):
+            place = (service, source.choice(hosts))
+            shares[place].started(share)
+            for called, times in self.CALLS[service]:
+                for _ in range(times):
+                    request(called, place, is_repeat, shares[place].value, now)
+
+        def request(service, place, is_repeat, share, now):
+            budgets[place].request(service, now, share)
+            arrivals[service].append((now, is_repeat))
+            run(service, is_repeat, share, now)
+            # Three in ten fail, and are sent to a second server within the budget.
+            if source.random() < 0.3 and budgets[place].spend(service, now):
+                arrivals[service].append((now, True))
+                run(service, True, 1.0, now)
+
+        now = 0.0
+        while (now := now + source.expovariate(60.0)) < 30.0:
+            request("front", ("front", source.choice(hosts)), False, 0.0, now)
+        return arrivals
+
+    def test_calls_of_repeated_runs_stay_within_the_budget_of_each_service(self):
+        arrivals = self.play(seed=3)
+        for service, events in arrivals.items():
+            for end in range(10, 30):
+                window = [again for at, again in events if end - 10.0 < at <= end]
+                requests = len(window) - sum(window)
+                with self.subTest(service=service, end=end):
+                    self.assertLessEqual(sum(window), 0.2 * requests + 48.0)
+        repeats = sum(again for _, again in arrivals["front"])
+        self.assertGreaterEqual(repeats, 0.08 * len(arrivals["front"]))
+
+
 class TestSuspects(TestCase):
     def test_second_death_quarantines_and_time_clears(self):
         suspects = Suspects(SuspectSettings(deaths=2, memory=60.0))
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from damaskramp.core import Counters, Reason
-from damaskramp.dispatch import Death, Load, SlotQueue, Verdict, Work
+from damaskramp.dispatch import Death, Load, RepeatShare, SlotQueue, Verdict, Work
 from damaskramp.relay.backend_connection import (
     Exchange,
     ExchangeFailure,
@@ -89,6 +89,7 @@
         self._counters = counters
         self._runs: set[_Run] = set()
         self._broken: list[tuple[float, int]] = []
+        self._repeats = RepeatShare()
         self.leaving = False
 
     @property
@@ -101,6 +102,11 @@
         """Calls that run or wait."""
         return len(self._runs)
 
+    @property
+    def repeat_share(self) -> float:
+        """Share of the runs at the server that repeat others, 0 to 1."""
+        return self._repeats.value
+
     def submit(self, call: Call, reply: CallReply) -> Callable[[], None]:
         """Take a call; return how to cancel it."""
         now = self._clock()
@@ -243,6 +249,7 @@
             self.refuse(problem, 0.0, False)
             return
         head = call.head + executor._deadline_field % int(remaining * 1000)
+        executor._repeats.started(call.repeat_share)
         self._abandon = executor._connections.start(
             self, call.request_id, call.head_only, head + call.body
         )
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -102,6 +102,7 @@
         "_outgoing",
         "_ready",
         "_refusals",
+        "_repeat_share",
         "_request",
         "_server",
         "_service",
@@ -119,6 +120,7 @@
         self._excluded: set[ServerId] = set()
         self._arrivals = 0
         self._refusals = 0
+        self._repeat_share = 0.0
         self._may_have_run = False
         self._ready: tuple[int, bytes, bytes] | None = None
         self._wait = 0.0
@@ -196,7 +198,10 @@
             return
         forwarder, request = self._forwarder, self._request
         self._service = self._entry.next_service()
-        forwarder.budget.request(self._service, forwarder.clock())
+        if self._is_call:
+            self._repeat_share = forwarder.executor.repeat_share
+        now = forwarder.clock()
+        forwarder.budget.request(self._service, now, self._repeat_share)
         forwarder.counters.add("requests", reason=self._service)
         holder = self._holder
         team = holder.team.name if holder is not None else None
@@ -267,6 +272,7 @@
             self._entry.route.name,
             holder.digest if holder is not None else b"",
             outgoing.fingerprint,
+            1.0 if self._arrivals else self._repeat_share,
         )
 
     def answered(self, status: int, head: bytes, body: bytes, load: Load) -> None:
--- a/damaskramp/relay/messages.py
+++ b/damaskramp/relay/messages.py
@@ -24,6 +24,7 @@
     BORROW = 8
     LENT = 9
     NEWS = 10
+    GIVE_BACK = 11
 
 
 REASONS = tuple(Reason)
@@ -57,6 +58,8 @@
         Digest of the caller's key; empty where it needs none.
     fingerprint : int
         Hash of caller, method, path and body.
+    repeat_share : float
+        Probability that this run repeats another, 0 to 1; its calls inherit it.
     """
 
     number: int
@@ -73,3 +76,4 @@
     route: str
     key_digest: bytes
     fingerprint: int
+    repeat_share: float
