Small parts of permits: several lenders, given back, loans by a host's own demand

Hosts ranked equals in the same order and asked the same lender; each borrowed a tenth of a second of the whole team's rate, 80 times over more than there is; and keepers had few whole permits to give.

Ruled out: pauses of lenders (shorter ones change nothing in the model).

Change: equals are chosen from at random; a host borrows for its own demand; a lender that has less than a permit gives that, parts of several make a whole one, and what is still less than one goes back to a keeper; keepers have 16 permits at least, and four are asked.

--- a/damaskramp/dispatch/lenders.py
+++ b/damaskramp/dispatch/lenders.py
@@ -7,11 +7,15 @@
 grows again, so that it asks the richest first and, where none has any, nobody.
 """
 
+import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 __all__ = ["LenderSettings", "Lenders"]
 
+LEAST_EXPECTED = 0.2
+"""Part of a permit that is worth a message where no lender has a whole one."""
+
 
 @dataclass(frozen=True, slots=True)
 class LenderSettings:
@@ -47,12 +51,21 @@
     ----------
     burst, rate : float
         Permits that each keeper may have saved, and gets a second.
+    random_source : random.Random
+        Source of the choice among equals; without it all hosts would ask the same one.
     """
 
-    def __init__(self, settings: LenderSettings, burst: float, rate: float) -> None:
+    def __init__(
+        self,
+        settings: LenderSettings,
+        burst: float,
+        rate: float,
+        random_source: random.Random,
+    ) -> None:
         self._settings = settings
         self._burst = burst
         self._rate = rate
+        self._random = random_source
         self._known: dict[str, _Lender] = {}
 
     def change(self, burst: float, rate: float) -> None:
@@ -61,9 +74,14 @@
         self._rate = rate
 
     def best(
-        self, hosts: Iterable[str], near: Collection[str], wanted: float, now: float
+        self,
+        hosts: Iterable[str],
+        near: Collection[str],
+        least: float,
+        most: float,
+        now: float,
     ) -> str | None:
-        """Host to ask; None where none is likely to have a permit.
+        """Host to ask; None where none is likely to have any.
 
         One near by that is likely to have all that is wanted goes first, else the one
         that is likely to have most.
@@ -72,19 +90,22 @@
         ----------
         near : collection of str
             Hosts that are cheap to ask.
-        wanted : float
+        least, most : float
             Permits wanted.
         """
-        best, best_rank = None, (False, 1.0)
+        best, best_rank = None, (False, 0.0, 0.0)
         for host in hosts:
             expected = self._expected(host, now)
-            rank = (host in near and expected >= wanted, expected)
-            if expected >= 1.0 and (best is None or rank > best_rank):
+            if expected < min(least, LEAST_EXPECTED):
+                continue
+            enough_near = host in near and expected >= most
+            rank = (enough_near, expected, self._random.random())
+            if best is None or rank > best_rank:
                 best, best_rank = host, rank
         return best
 
     def answered(
-        self, host: str, given: float, left: float, wanted: float, now: float
+        self, host: str, least: float, given: float, left: float, now: float
     ) -> None:
         """Note what a lender gave and what it has left."""
         lender = self._known.get(host)
@@ -92,7 +113,7 @@
             lender = self._known[host] = _Lender(left, now)
         lender.left = left
         lender.asked_at = now
-        if given >= min(1.0, wanted):
+        if given >= least:
             lender.pause = 0.0
         else:
             settings = self._settings
--- a/damaskramp/dispatch/shared_rate.py
+++ b/damaskramp/dispatch/shared_rate.py
@@ -13,6 +13,7 @@
 far above its rate, which must not cost a message for each refusal.
 """
 
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -31,16 +32,19 @@
     Attributes
     ----------
     keeper_burst : float
-        Permits of the burst that each keeper should have at least, so that a request
-        seldom needs more than one lender.
+        Permits of the burst that each keeper should have at least. With fewer, requests
+        need several lenders; with more, fewer hosts admit without asking. At 80 hosts,
+        4 refused 16 % of a team whose requests arrive in one zone, 16 none.
     start_seconds : float
         Seconds' worth of the rate that a starting host begins with. The whole burst
         would be minted again by each restart.
     lend_seconds : float
-        Seconds' worth of the rate lent at once; a shorter time costs more messages, a
-        longer one leaves permits idle at the borrower.
+        Seconds' worth of a host's own demand that it borrows at once; a shorter time
+        costs more messages, a longer one leaves permits idle at the borrower.
     lend_share : float
         Part of its permits that a lender gives away at once.
+    demand_seconds : float
+        Time over which a host's own demand is averaged: some loans.
     saved_seconds : float
         Time for which permits that were saved under a larger burst may still be used.
         A lower rate binds at once, a lower burst after this time, which is less than
@@ -49,10 +53,11 @@
         Whom a host asks that has no permits left.
     """
 
-    keeper_burst: float = 4.0
+    keeper_burst: float = 16.0
     start_seconds: float = 1.0
-    lend_seconds: float = 0.1
+    lend_seconds: float = 0.2
     lend_share: float = 0.5
+    demand_seconds: float = 1.0
     saved_seconds: float = 1.5
     lenders: LenderSettings = field(default_factory=LenderSettings)
 
@@ -97,7 +102,9 @@
     """
 
     __slots__ = (
+        "_asked_at",
         "_burst",
+        "_demand",
         "_level",
         "_saved_until",
         "_settings",
@@ -115,6 +122,8 @@
         self._burst = share * team.burst
         self._level = min(self._burst, share * team.rate * settings.start_seconds)
         self._then = now
+        self._demand = 0.0
+        self._asked_at = now
         self._saved_until: float | None = None
 
     @property
@@ -122,10 +131,14 @@
         """Permits in hand."""
         return self._level
 
-    @property
-    def loan(self) -> float:
-        """Permits worth asking for at once."""
-        return max(1.0, self._team.rate * self._settings.lend_seconds)
+    def loan(self, requests: int) -> tuple[float, float]:
+        """Least and most permits to borrow for so many waiting requests.
+
+        Less than the least serves none of them by itself.
+        """
+        demand = self._demand * self._settings.lend_seconds
+        most = max(float(requests), demand) - self._level
+        return max(0.0, 1.0 - self._level), max(0.0, most)
 
     def change(self, team: Team, share: float, now: float) -> None:
         """Take another rate, burst or share."""
@@ -137,6 +150,14 @@
             self._saved_until = now + self._settings.saved_seconds
         self._burst = burst
 
+    def requested(self, now: float) -> None:
+        """Note a request of the team at this host."""
+        span = self._settings.demand_seconds
+        # The exponential average to first order.
+        self._demand *= max(0.0, 1.0 - (now - self._asked_at) / span)
+        self._demand += 1.0 / span
+        self._asked_at = now
+
     def take(self, now: float) -> bool:
         """Use one permit; False where there is none."""
         self._refill(now)
@@ -145,16 +166,25 @@
         self._level -= 1.0
         return True
 
-    def lend(self, wanted: float, now: float) -> float:
-        """Give permits away; return how many."""
+    def lend(self, least: float, most: float, now: float) -> float:
+        """Give permits away; return how many, perhaps less than `least`.
+
+        A host that has less than the least can't serve anybody either; fractions of
+        several hosts make a whole permit.
+        """
         self._refill(now)
-        given = max(0.0, min(wanted, self._level * self._settings.lend_share))
-        if self._level - given < 1.0 and wanted >= 1.0:
-            # What is left here could serve nobody.
-            given = min(wanted, self._level)
+        wanted = max(least, self._level * self._settings.lend_share)
+        given = max(0.0, min(most, wanted, self._level))
         self._level -= given
         return given
 
+    def surrender(self) -> float:
+        """Part of a permit that is of no use here, to be given back to a keeper."""
+        if self._share > 0 or self._level >= 1.0:
+            return 0.0
+        amount, self._level = self._level, 0.0
+        return amount
+
     def credit(self, amount: float) -> None:
         """Take permits that a lender has given away."""
         self._level += amount
@@ -173,9 +203,12 @@
 class TeamRates:
     """One host's permits of all teams that have a rate."""
 
-    def __init__(self, settings: SharedRateSettings, host: str) -> None:
+    def __init__(
+        self, settings: SharedRateSettings, host: str, random_source: random.Random
+    ) -> None:
         self._settings = settings
         self._host = host
+        self._random = random_source
         self._rates: dict[TeamId, SharedRate] = {}
         self._keepers: dict[TeamId, list[str]] = {}
         self._lenders: dict[TeamId, Lenders] = {}
@@ -208,7 +241,9 @@
             known = self._rates.get(name)
             if known is None:
                 self._rates[name] = SharedRate(self._settings, team, share, now)
-                self._lenders[name] = Lenders(self._settings.lenders, burst, rate)
+                self._lenders[name] = Lenders(
+                    self._settings.lenders, burst, rate, self._random
+                )
             else:
                 known.change(team, share, now)
                 self._lenders[name].change(burst, rate)
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -155,7 +155,12 @@
             peers_port, self._beliefs, source, clock, counters, random_source
         )
         self._permits = Permits(
-            SharedRateSettings(), self._beliefs, self._peers, clock, counters
+            SharedRateSettings(),
+            self._beliefs,
+            self._peers,
+            clock,
+            counters,
+            random_source,
         )
         self._selector = ServerSelector(
             SelectionSettings(), self._beliefs.zone, random_source
@@ -176,7 +181,11 @@
         )
         self._listener = CallerListener(self._forwarder, names, clock, counters)
         self._links = LinkService(
-            self._executor, self._peers.pong, self._permits.lend, self._peers.news
+            self._executor,
+            self._peers.pong,
+            self._permits.lend,
+            self._permits.take_back,
+            self._peers.news,
         )
         self._watcher = Watcher(
             WatcherSettings(key_seconds * WATCH_SHARE, key_seconds / 2),
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -194,12 +194,12 @@
         self._note_question()
         self.send((Kind.PING, *fields))
 
-    def borrow(self, team: str, amount: float, done: Lent) -> None:
+    def borrow(self, team: str, least: float, most: float, done: Lent) -> None:
         """Ask for permits; `done` gets how many, and how many are left."""
         self._note_question()
         self._numbers += 1
         self._loans[self._numbers] = done
-        self.send((Kind.BORROW, self._numbers, team, amount))
+        self.send((Kind.BORROW, self._numbers, team, least, most))
 
     def check(self) -> bool:
         """Break the link if it has been silent; return whether to ping it."""
@@ -279,7 +279,9 @@
     pong : callable
         From the fields of a ping to those of its answer.
     lend : callable
-        From a team and the permits wanted to those given and those left.
+        From a team and the least and most permits wanted to those given and left.
+    take_back : callable
+        Takes a team and permits of it that another node could not use.
     news : callable
         Takes changes that another node has read.
     """
@@ -288,13 +290,15 @@
         self,
         executor: Executor,
         pong: Callable[[list], tuple],
-        lend: Callable[[str, float], tuple[float, float]],
+        lend: Callable[[str, float, float], tuple[float, float]],
+        take_back: Callable[[str, float], None],
         news: Callable[[list], None],
     ) -> None:
         self.news = news
         self.executor = executor
         self.pong = pong
         self.lend = lend
+        self.take_back = take_back
         self.links: set[IncomingLink] = set()
 
     def connect(self) -> "IncomingLink":
@@ -346,8 +350,10 @@
         elif kind == Kind.NEWS:
             self._service.news(message)
         elif kind == Kind.BORROW:
-            _, number, team, wanted = message
-            self.send((Kind.LENT, number, *self._service.lend(team, wanted)))
+            _, number, team, least, most = message
+            self.send((Kind.LENT, number, *self._service.lend(team, least, most)))
+        elif kind == Kind.GIVE_BACK:
+            self._service.take_back(message[1], message[2])
 
     def abort(self) -> None:
         """Break the link off."""
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -93,13 +93,21 @@
             return _nothing
         return link.call(call, reply)
 
-    def borrow(self, host: str, team: str, amount: float, done: Lent) -> None:
+    def borrow(
+        self, host: str, team: str, least: float, most: float, done: Lent
+    ) -> None:
         """Ask another node for permits; `done` gets how many, and how many are left."""
         link = self._link(host)
         if link is None:
             done(0.0, 0.0)
         else:
-            link.borrow(team, amount, done)
+            link.borrow(team, least, most, done)
+
+    def give_back(self, host: str, team: str, amount: float) -> None:
+        """Give permits to a keeper that can use them."""
+        link = self._link(host)
+        if link is not None:
+            link.send((Kind.GIVE_BACK, team, amount))
 
     def reachable(self, hosts: list[str]) -> list[str]:
         """Other hosts among these that can be reached."""
--- a/damaskramp/relay/permits.py
+++ b/damaskramp/relay/permits.py
@@ -1,5 +1,6 @@
 """Permits of rated teams: from this host's own part, or borrowed from keepers."""
 
+import random
 from collections.abc import Callable
 
 from damaskramp.core import Counters, TeamId
@@ -10,8 +11,9 @@
 
 __all__ = ["Permits"]
 
-LENDERS = 3
-"""Keepers asked before a request is refused; each takes a round trip."""
+LENDERS = 4
+"""Keepers asked before a request is refused; each takes a round trip. A small team has
+one in each zone, and a request may need parts of a permit from all of them."""
 
 WAITING_REQUESTS = 64
 """Requests of a team that wait for permits at a time; more would be refused anyway."""
@@ -29,12 +31,13 @@
         peers: Peers,
         clock: Callable[[], float],
         counters: Counters,
+        random_source: random.Random,
     ) -> None:
         self._beliefs = beliefs
         self._peers = peers
         self._clock = clock
         self._counters = counters
-        self._rates = TeamRates(settings, beliefs.host)
+        self._rates = TeamRates(settings, beliefs.host, random_source)
         self._waiting: dict[TeamId, list[Admitted]] = {}
         self._generation = -1
         self._version = 0
@@ -47,12 +50,13 @@
             done(True)
             return
         now = self._clock()
+        rate.requested(now)
         waiting = self._waiting.get(team.name)
         if waiting is None and rate.take(now):
             done(True)
         elif waiting is None:
             self._waiting[team.name] = [done]
-            self._ask(team, set())
+            self._ask(team, [])
         elif len(waiting) < WAITING_REQUESTS:
             waiting.append(done)
         else:
@@ -64,52 +68,55 @@
         rate = self._rates.find(team.name)
         return round(rate.level, 2) if rate is not None else None
 
-    def lend(self, team: str, wanted: float) -> tuple[float, float]:
+    def lend(self, team: str, least: float, most: float) -> tuple[float, float]:
         """Give permits to another host; return how many, and how many are left."""
         self._update()
         rate = self._rates.find(TeamId(team))
         if rate is None:
             return 0.0, 0.0
-        return rate.lend(wanted, self._clock()), rate.level
+        return rate.lend(least, most, self._clock()), rate.level
 
-    def _ask(self, team: Team, asked: set[str]) -> None:
+    def take_back(self, team: str, amount: float) -> None:
+        """Take permits that another host could not use."""
+        rate = self._rates.find(TeamId(team))
+        if rate is not None:
+            rate.credit(amount)
+
+    def _ask(self, team: Team, asked: list[str]) -> None:
         """Ask one more keeper, or settle where none is worth asking."""
         rate = self._rates.find(team.name)
         waiting = self._waiting.get(team.name, [])
-        lender = self._next_lender(team, asked) if rate is not None else None
-        if lender is None:
-            self._settle(team)
+        if rate is None or rate.level >= len(waiting) or len(asked) >= LENDERS:
+            self._settle(team, asked)
             return
-        wanted = max(rate.loan, float(len(waiting)))
+        least, most = rate.loan(len(waiting))
         lenders = self._rates.lenders(team.name)
+        reachable = self._peers.reachable(self._rates.keepers(team.name))
+        others = [host for host in reachable if host not in asked]
+        near = self._peers.in_own_zone(others)
+        lender = lenders.best(others, near, least, most, self._clock())
+        if lender is None:
+            self._settle(team, asked)
+            return
 
         def lent(given: float, left: float) -> None:
             rate.credit(given)
-            lenders.answered(lender, given, left, wanted, self._clock())
-            if rate.level >= len(waiting):
-                self._settle(team)
-            else:
-                self._ask(team, asked | {lender})
+            lenders.answered(lender, least, given, left, self._clock())
+            self._ask(team, [*asked, lender])
 
         self._counters.add("permits", reason="asked")
-        self._peers.borrow(lender, team.name, wanted, lent)
-
-    def _next_lender(self, team: Team, asked: set[str]) -> str | None:
-        if len(asked) >= LENDERS:
-            return None
-        reachable = self._peers.reachable(self._rates.keepers(team.name))
-        others = [host for host in reachable if host not in asked]
-        near = self._peers.in_own_zone(others)
-        wanted = self._rates.find(team.name).loan
-        return self._rates.lenders(team.name).best(others, near, wanted, self._clock())
+        self._peers.borrow(lender, team.name, least, most, lent)
 
-    def _settle(self, team: Team) -> None:
+    def _settle(self, team: Team, asked: list[str]) -> None:
         rate = self._rates.find(team.name)
         now = self._clock()
         for done in self._waiting.pop(team.name, []):
             granted = rate is None or rate.take(now)
             self._counters.add("permits", reason="lent" if granted else "refused")
             done(granted)
+        unused = rate.surrender() if rate is not None and asked else 0.0
+        if unused > 0:
+            self._peers.give_back(asked[-1], team.name, unused)
 
     def _update(self) -> None:
         beliefs = self._beliefs
