Tight requests compare the servers of their zone with the median

Change: tight requests leave the zone where its servers are 1.5 times slower than the median. With three servers, one of them slow, they leave it as before.

--- a/damaskramp/dispatch/selection.py
+++ b/damaskramp/dispatch/selection.py
@@ -35,8 +35,9 @@
     slow_factor : float
         How many times slower than the fastest a server of the own zone may be.
     tight_slow_factor : float
-        The same for requests with little time to spare. Speeds of like servers differ
-        by up to twice; what a request loses by a zone's crossing is under a tenth.
+        How many times slower than the median it may be for requests with little time to
+        spare. Speeds of like servers differ by up to twice; what a request loses by
+        crossing a zone is under a tenth.
     report_seconds : float
         Time over which a report of other hosts' load loses its weight; load changes
         within about a service time.
@@ -136,15 +137,17 @@
         usable = [s for s in open_servers if self._record(s).shunned_until <= now]
         # Never avoid all of them: a doubtful server is better than none.
         scored = [(self._expected(s, now), s) for s in usable or open_servers]
-        fastest = min(scored, key=lambda pair: pair[0])
+        times = sorted(time for time, _ in scored)
         settings = self._settings
-        factor = settings.tight_slow_factor if tight else settings.slow_factor
+        slowest = settings.slow_factor * times[0]
+        if tight:
+            slowest = settings.tight_slow_factor * times[(len(times) - 1) // 2]
         nearby = [
             (time, server)
             for time, server in scored
             if server.zone == self._zone
             and self._load(server, now) < settings.spill_load
-            and time <= factor * fastest[0]
+            and time <= slowest
         ]
         return self._lightest(nearby or scored)
 
