Attempts of a request are a decision of their own, without sockets

Keys are looked up in relay.identity. A request whose key can't be checked for age is told when to come back also where the bound on that age is below 1.5 s.

--- a/damaskramp/dispatch/__init__.py
+++ b/damaskramp/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """Decisions on single requests, without sockets: where, when and whether they run."""
 
+from damaskramp.dispatch.attempts import Attempts
 from damaskramp.dispatch.comeback import comeback_seconds
 from damaskramp.dispatch.lenders import Lenders, LenderSettings
 from damaskramp.dispatch.retry_budget import (
@@ -15,6 +16,7 @@
 from damaskramp.dispatch.suspects import Death, Suspects, SuspectSettings
 
 __all__ = [
+    "Attempts",
     "Death",
     "LenderSettings",
     "Lenders",
--- /dev/null
+++ b/damaskramp/dispatch/attempts.py
@@ -0,0 +1,140 @@
+"""Whether a request may be sent to one more server, and what its caller is told.
+
+Load this answers: servers that refuse, break off or fall silent. A refusal that reached
+no server costs nothing and leads to another server; what may have run is repeated only
+where the route is idempotent, the deadline leaves time and the retry budget of the
+service allows it. A caller is told "not run" only where that is known.
+"""
+
+from damaskramp.core import Counters, Outcome, Reason, ServiceName
+from damaskramp.dispatch.retry_budget import RetryBudget
+from damaskramp.fleet.model import Route, ServerId
+
+__all__ = ["Attempts"]
+
+REFUSALS = 3
+"""Servers that may refuse a request before its caller is told; each costs a message."""
+
+LEAST_ATTEMPT_SECONDS = 0.02
+"""Remaining time below which a request is not sent again."""
+
+UNKNOWN_REASONS = frozenset(
+    {Reason.ANSWER_LOST, Reason.BACKEND_SERVER_LOST, Reason.DEADLINE_EXCEEDED}
+)
+"""Reasons whose status makes no promise that the request has not run."""
+
+
+class Attempts:
+    """What has become of one request at the servers that it was sent to.
+
+    Attributes
+    ----------
+    tried : set of ServerId
+        Servers that it was sent to.
+    arrivals : int
+        Servers that it has reached or may have reached.
+    wait : float
+        Longest time in seconds until there is room, of the servers that refused it.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_counters",
+        "_deadline",
+        "_inherited_share",
+        "_may_have_run",
+        "_refusals",
+        "_route",
+        "_service",
+        "arrivals",
+        "tried",
+        "wait",
+    )
+
+    def __init__(self, budget: RetryBudget, counters: Counters) -> None:
+        self._budget = budget
+        self._counters = counters
+        self._service = ServiceName("")
+        self._route: Route | None = None
+        self._deadline = 0.0
+        self._inherited_share = 0.0
+        self._may_have_run = False
+        self._refusals = 0
+        self.tried: set[ServerId] = set()
+        self.arrivals = 0
+        self.wait = 0.0
+
+    @property
+    def repeat_share(self) -> float:
+        """Probability that the next attempt repeats a run, 0 to 1."""
+        return 1.0 if self.arrivals else self._inherited_share
+
+    def begin(
+        self,
+        service: ServiceName,
+        route: Route,
+        deadline: float,
+        inherited_share: float,
+        now: float,
+    ) -> None:
+        """Count the request for its service.
+
+        Parameters
+        ----------
+        deadline : float
+            Time of the clock after which nobody waits for the answer.
+        inherited_share : float
+            Probability that it is a call of a run that was itself a repeat.
+        """
+        self._service = service
+        self._route = route
+        self._deadline = deadline
+        self._inherited_share = inherited_share
+        self._budget.request(service, now, inherited_share)
+
+    def refused(self, wait: float, arrived: bool) -> None:
+        """Note that a server has not run it and never will."""
+        self._refusals += 1
+        self.wait = max(self.wait, wait)
+        self.arrivals += arrived
+
+    def may_try_elsewhere(self, arrived: bool, now: float) -> bool:
+        """Whether to try another server after a refusal."""
+        if arrived and not self._within_budget(now):
+            return False
+        return self._refusals < REFUSALS and not self._is_late(now)
+
+    def ran(self) -> None:
+        """Note that a server has run it, or may have."""
+        self.arrivals += 1
+        self._may_have_run = True
+
+    def may_repeat(self, now: float) -> bool:
+        """Whether to run it once more after a failure."""
+        if not self._route.idempotent or self._is_late(now):
+            return False
+        return self._within_budget(now)
+
+    def left_open(self, server: ServerId) -> None:
+        """Note that nobody waits for the answer of a server that may run it."""
+        self._may_have_run = True
+        self.tried.add(server)
+
+    def told(self, reason: Reason) -> tuple[Reason, Outcome]:
+        """What the caller is told where there is no answer."""
+        if self._may_have_run:
+            told = reason if reason in UNKNOWN_REASONS else Reason.ANSWER_LOST
+            return told, Outcome.UNKNOWN
+        told = Reason.OVERLOADED if reason in UNKNOWN_REASONS else reason
+        return told, Outcome.NOT_RUN
+
+    def _is_late(self, now: float) -> bool:
+        return now > self._deadline - LEAST_ATTEMPT_SECONDS
+
+    def _within_budget(self, now: float) -> bool:
+        if self.arrivals >= self._route.attempts:
+            return False
+        allowed = self._budget.spend(self._service, now)
+        reason = "allowed" if allowed else "budget"
+        self._counters.add("repeats", reason=reason)
+        return allowed
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -6,6 +6,7 @@
 
 from damaskramp.core import Counters, Outcome, Reason
 from damaskramp.dispatch import (
+    Attempts,
     Load,
     RetryBudget,
     RouteEntry,
@@ -13,12 +14,13 @@
     ServerSelector,
     comeback_seconds,
 )
-from damaskramp.fleet import BackendServer, ServerId
+from damaskramp.fleet import BackendServer
 from damaskramp.relay.beliefs import Beliefs, KeyHolder
 from damaskramp.relay.caller_request import CallerRequest, RequestHandler
 from damaskramp.relay.decision_log import DecisionLog
 from damaskramp.relay.execution import CallReply, Executor
 from damaskramp.relay.headers import HeaderNames
+from damaskramp.relay.identity import identify
 from damaskramp.relay.messages import Call
 from damaskramp.relay.outgoing import OutgoingHeaders, OutgoingRequest
 from damaskramp.relay.peers import Peers
@@ -30,25 +32,17 @@
 """When to come back to a node that lacks a usable configuration: it asks the platform
 and its peers several times a second."""
 
-REFUSALS = 3
-"""Servers that may refuse a request before its caller is told; each costs a message."""
-
 REJECTS_BY_AGE = 1.5
 """Age of the configuration above which a key or route that it lacks may be a new one,
 in seconds. News takes well under a second where the platform can be reached."""
 
-LEAST_ATTEMPT_SECONDS = 0.02
-"""Remaining time below which a request is not sent again."""
+LEAST_WAIT_SECONDS = 0.02
+"""Shortest time after which to come back where no server could be asked."""
 
 SHUN_SECONDS = 0.3
 """Time for which a server that could not be reached is avoided: as long as a link takes
 to be tried again."""
 
-UNKNOWN_REASONS = frozenset(
-    {Reason.ANSWER_LOST, Reason.BACKEND_SERVER_LOST, Reason.DEADLINE_EXCEEDED}
-)
-"""Reasons whose status makes no promise that the request has not run."""
-
 
 class Forwarder(RequestHandler):
     """What all requests of this node's callers share."""
@@ -90,24 +84,19 @@
     """The way of one request."""
 
     __slots__ = (
-        "_arrivals",
+        "_attempts",
         "_cancel",
         "_deadline",
         "_entry",
-        "_excluded",
         "_forwarder",
         "_holder",
         "_loop_timer",
-        "_may_have_run",
         "_outgoing",
         "_ready",
-        "_refusals",
-        "_repeat_share",
         "_request",
         "_server",
         "_service",
         "_target",
-        "_wait",
     )
 
     def __init__(self, forwarder: Forwarder, request: CallerRequest) -> None:
@@ -117,13 +106,8 @@
         self._holder: KeyHolder | None = None
         self._service = ""
         self._server: BackendServer | None = None
-        self._excluded: set[ServerId] = set()
-        self._arrivals = 0
-        self._refusals = 0
-        self._repeat_share = 0.0
-        self._may_have_run = False
+        self._attempts = Attempts(forwarder.budget, forwarder.counters)
         self._ready: tuple[int, bytes, bytes] | None = None
-        self._wait = 0.0
         self._cancel: Callable[[], None] | None = None
         self._loop_timer: asyncio.TimerHandle | None = None
         self._outgoing: OutgoingRequest | None = None
@@ -141,9 +125,12 @@
         if self._entry is None:
             self._deny(Reason.NO_ROUTE)
             return
-        if not self._check_key():
-            return
         route = self._entry.route
+        found = identify(beliefs, request, route.public, forwarder.key_scheme)
+        if found.is_error():
+            self._deny(found.error)
+            return
+        self._holder = found.ok
         timeout = route.timeout
         if request.deadline_ms is not None:
             timeout = min(timeout, request.deadline_ms / 1000)
@@ -159,35 +146,13 @@
         else:
             self._admitted(True)
 
-    def _check_key(self) -> bool:
-        forwarder, request = self._forwarder, self._request
-        beliefs = forwarder.beliefs
-        configuration = beliefs.configuration
-        if not configuration.teams or not request.keyed:
-            if configuration.teams and not self._entry.route.public:
-                self._deny(Reason.KEY_MISSING)
-                return False
-            return True
-        scheme = forwarder.key_scheme
-        key = request.key
-        if key[: len(scheme)].lower() == scheme.lower():
-            self._holder = beliefs.key(key[len(scheme) :].strip())
-        if self._holder is None:
-            if self._entry.route.public:
-                return True
-            self._deny(Reason.KEY_UNKNOWN)
-            return False
-        if not beliefs.keys_usable:
-            self._refuse(Reason.BELIEF_TOO_OLD, MISSING_BELIEF_SECONDS)
-            return False
-        return True
-
     def _deny(self, reason: Reason) -> None:
         # Only a recent configuration proves that a route or key is not there.
-        if self._forwarder.beliefs.freshness.age < REJECTS_BY_AGE:
-            self._refuse(reason, 0.0)
-        else:
+        is_old = self._forwarder.beliefs.freshness.age >= REJECTS_BY_AGE
+        if is_old or reason is Reason.BELIEF_TOO_OLD:
             self._refuse(Reason.BELIEF_TOO_OLD, MISSING_BELIEF_SECONDS)
+        else:
+            self._refuse(reason, 0.0)
 
     def _admitted(self, admitted: bool) -> None:
         if self._request.on_gone is None:
@@ -198,10 +163,13 @@
             return
         forwarder, request = self._forwarder, self._request
         self._service = self._entry.next_service()
-        if self._is_call:
-            self._repeat_share = forwarder.executor.repeat_share
-        now = forwarder.clock()
-        forwarder.budget.request(self._service, now, self._repeat_share)
+        self._attempts.begin(
+            self._service,
+            self._entry.route,
+            self._deadline,
+            forwarder.executor.repeat_share if self._is_call else 0.0,
+            forwarder.clock(),
+        )
         forwarder.counters.add("requests", reason=self._service)
         holder = self._holder
         team = holder.team.name if holder is not None else None
@@ -238,10 +206,12 @@
         tight = forwarder.route_times.is_tight(
             self._entry.route.name, self._target - now
         )
-        server = forwarder.selector.choose(servers, self._excluded, rank, now, tight)
+        server = forwarder.selector.choose(
+            servers, self._attempts.tried, rank, now, tight
+        )
         if server is None:
             reason = Reason.OVERLOADED if servers else Reason.NO_BACKEND_SERVER
-            self._refuse(reason, max(self._wait, LEAST_ATTEMPT_SECONDS))
+            self._refuse(reason, max(self._attempts.wait, LEAST_WAIT_SECONDS))
             return
         self._server = server
         call = self._call(server, now)
@@ -272,7 +242,7 @@
             self._entry.route.name,
             holder.digest if holder is not None else b"",
             outgoing.fingerprint,
-            1.0 if self._arrivals else self._repeat_share,
+            self._attempts.repeat_share,
         )
 
     def answered(self, status: int, head: bytes, body: bytes, load: Load) -> None:
@@ -280,10 +250,9 @@
         server = self._server
         if not self._over(load, failed=status >= 500):
             return
-        self._arrivals += 1
         repeatable = status in (500, 502, 503) and self._fails_alone(server)
-        if repeatable and self._may_repeat():
-            self._may_have_run = True
+        self._attempts.ran()
+        if repeatable and self._attempts.may_repeat(self._forwarder.clock()):
             self._ready = (status, head, body)
             self._send()
             return
@@ -309,30 +278,22 @@
         server = self._server
         if not self._over(load, failed=None):
             return
-        forwarder = self._forwarder
+        forwarder, attempts = self._forwarder, self._attempts
         now = forwarder.clock()
-        self._refusals += 1
-        self._wait = max(self._wait, wait)
         if reason is Reason.CONNECT_FAILED:
             forwarder.selector.shun(server, SHUN_SECONDS, now)
-        if reason is Reason.QUARANTINED:
-            self._refuse(reason, 0.0)
-            return
         if reason is Reason.OVERLOADED and not arrived:
             forwarder.selector.refused(server, self._rank, now)
         if reason is Reason.KEY_WITHDRAWN:
             # One of the two nodes is behind; which of them is not known here.
-            reason, self._wait = Reason.BELIEF_TOO_OLD, MISSING_BELIEF_SECONDS
-        if arrived:
-            self._arrivals += 1
-            if not self._within_budget():
-                self._refuse(reason, wait)
-                return
-        late = now > self._deadline - LEAST_ATTEMPT_SECONDS
-        if self._refusals >= REFUSALS or late:
-            self._refuse(reason, self._wait)
-            return
-        self._send()
+            reason, wait = Reason.BELIEF_TOO_OLD, MISSING_BELIEF_SECONDS
+        attempts.refused(wait, arrived)
+        if reason is Reason.QUARANTINED:
+            self._refuse(reason, 0.0)
+        elif attempts.may_try_elsewhere(arrived, now):
+            self._send()
+        else:
+            self._refuse(reason, attempts.wait)
 
     def failed(self, reason: Reason, load: Load | None) -> None:
         """Try again where the request may run twice; else tell that it is unknown."""
@@ -342,9 +303,8 @@
         forwarder = self._forwarder
         if reason is Reason.BACKEND_SERVER_LOST:
             forwarder.selector.shun(server, SHUN_SECONDS, forwarder.clock())
-        self._arrivals += 1
-        self._may_have_run = True
-        if self._may_repeat():
+        self._attempts.ran()
+        if self._attempts.may_repeat(forwarder.clock()):
             self._send()
             return
         self._refuse(reason, 0.0)
@@ -359,34 +319,16 @@
         forwarder.selector.ended(server, failed)
         if load is not None:
             forwarder.selector.reported(server, load, forwarder.clock())
-        self._excluded.add(server.id)
+        self._attempts.tried.add(server.id)
         return True
 
     def _fails_alone(self, server: BackendServer) -> bool:
         servers = self._forwarder.beliefs.directory.of_service(self._service)
         return self._forwarder.selector.stands_out(server, servers)
 
-    def _may_repeat(self) -> bool:
-        if not self._entry.route.idempotent:
-            return False
-        now = self._forwarder.clock()
-        if now > self._deadline - LEAST_ATTEMPT_SECONDS:
-            return False
-        return self._within_budget()
-
-    def _within_budget(self) -> bool:
-        if self._arrivals >= self._entry.route.attempts:
-            return False
-        forwarder = self._forwarder
-        allowed = forwarder.budget.spend(self._service, forwarder.clock())
-        reason = "allowed" if allowed else "budget"
-        forwarder.counters.add("repeats", reason=reason)
-        return allowed
-
     def _timed_out(self) -> None:
         if self._server is not None:
-            self._may_have_run = True
-            self._excluded.add(self._server.id)
+            self._attempts.left_open(self._server.id)
         self._withdraw()
         self._refuse(Reason.DEADLINE_EXCEEDED, 0.0)
 
@@ -409,15 +351,11 @@
             # An answer of a failed run says more than that a second try was refused.
             self._respond(*self._ready)
             return
-        if self._may_have_run:
-            told = reason if reason in UNKNOWN_REASONS else Reason.ANSWER_LOST
-            self._finish(told, Outcome.UNKNOWN, 0.0)
-            return
-        told = Reason.OVERLOADED if reason in UNKNOWN_REASONS else reason
+        told, outcome = self._attempts.told(reason)
         retry_after = 0.0
-        if wait > 0:
+        if wait > 0 and outcome is Outcome.NOT_RUN:
             retry_after = comeback_seconds(wait, self._forwarder.random)
-        self._finish(told, Outcome.NOT_RUN, retry_after)
+        self._finish(told, outcome, retry_after)
 
     def _finish(self, reason: Reason, outcome: Outcome, retry_after: float) -> None:
         self._end()
@@ -450,8 +388,8 @@
             team=self._holder.team.name if self._holder is not None else "",
             permits=self._permits_left(),
             servers=len(beliefs.directory.of_service(self._service)),
-            tried=sorted(self._excluded),
-            arrivals=self._arrivals,
+            tried=sorted(self._attempts.tried),
+            arrivals=self._attempts.arrivals,
             version=beliefs.version,
             age_seconds=round(beliefs.freshness.age, 3),
             took_seconds=round(forwarder.clock() - request.started, 4),
