damaskramp-status reads relay nodes; damaskramp-burn says what it can't read

Relay nodes serve /status on their metrics address, in the form of the product's nodes, and say at /slo that they keep no windows of objectives. The operators' programs show why a node was not read. Tests: tests/test_relay_status.py, with the real programs.

--- a/damaskramp/cli/burn.py
+++ b/damaskramp/cli/burn.py
@@ -1,6 +1,7 @@
 """``damaskramp-burn``: which error budget burns, how fast, and when it is gone."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Sequence
 
 from absl import flags
@@ -58,7 +59,7 @@
     except ValidationError as error:
         return fail(f"damaskramp-burn: a node's answer can't be read: {error}")
     burns = compute_burn(goals, windows)
-    reached = f"{len(read)} of {len(answers)} nodes read"
+    reached = _reached_text(answers)
     if FLAGS.page:
         try:
             with open(FLAGS.page, "w", encoding="utf-8") as file:
@@ -71,6 +72,14 @@
     return ExitCode.FAILED if any(burn.alert for burn in burns) else ExitCode.OK
 
 
+def _reached_text(answers: list[NodeAnswer]) -> str:
+    """How many nodes were read, and why others were not."""
+    problems = Counter(a.problem for a in answers if a.document is None)
+    parts = [f"{len(answers) - problems.total()} of {len(answers)} nodes read"]
+    parts += [f"{count} not read: {why}" for why, count in problems.most_common()]
+    return "; ".join(parts)
+
+
 def _parse(read: list[NodeAnswer]) -> tuple[list[Goal], list[NodeWindows]]:
     """Goals of the newest bundle, and the windows of every node."""
     windows: list[NodeWindows] = []
--- a/damaskramp/operations/fleet_reader.py
+++ b/damaskramp/operations/fleet_reader.py
@@ -14,6 +14,9 @@
 
 PARALLEL_READS = 64
 
+SAID_CHARACTERS = 100
+"""Of an answer that can't be read, what is shown."""
+
 
 @dataclass(frozen=True, slots=True)
 class Target:
@@ -86,7 +89,9 @@
         try:
             return NodeAnswer(target, orjson.loads(answer.ok.body))
         except orjson.JSONDecodeError:
-            return NodeAnswer(target, None, f"status {answer.ok.status}, not JSON")
+            said = answer.ok.body.decode("utf-8", "replace").partition("\n")[0]
+            problem = f"status {answer.ok.status}, not JSON: {said[:SAID_CHARACTERS]}"
+            return NodeAnswer(target, None, problem)
 
 
 def _targets(hosts: Sequence[ListedHost], zone: str) -> list[Target]:
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -37,6 +37,7 @@
 from damaskramp.relay.peers import Peers
 from damaskramp.relay.permits import Permits
 from damaskramp.relay.settings import RelaySettings
+from damaskramp.relay.status_page import NO_OBJECTIVES, status_page
 from damaskramp.relay.status_server import StatusServer, metrics_page
 from damaskramp.relay.watcher import Watcher, WatcherSettings
 
@@ -304,12 +305,20 @@
             {
                 self._readiness_path: self._readiness,
                 b"/metrics": self._metrics,
+                b"/status": self._status,
+                b"/slo": lambda: (404, NO_OBJECTIVES),
             }
         )
 
     def _readiness(self) -> tuple[int, bytes]:
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
 
+    def _status(self) -> tuple[int, bytes]:
+        state = "serving" if self.ready else "not ready"
+        if self._stopping:
+            state = "draining"
+        return 200, status_page(self._beliefs, self._executor, self._peers, state)
+
     def _metrics(self) -> tuple[int, bytes]:
         beliefs, load = self._beliefs, self._executor.load
         gauges = {
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -111,6 +111,12 @@
         if link is not None:
             link.send((Kind.GIVE_BACK, team, amount))
 
+    def state_of(self, host: str) -> str:
+        """What is known of another host's node, in a word."""
+        if host in self._unreachable:
+            return "unreachable"
+        return "leaving" if host in self._leaving else "live"
+
     def reachable(self, hosts: list[str]) -> list[str]:
         """Other hosts among these that can be reached."""
         own = self._beliefs.host
--- /dev/null
+++ b/damaskramp/relay/status_page.py
@@ -0,0 +1,48 @@
+"""What a relay node shows operators of itself, in the form of the product's nodes."""
+
+import hashlib
+
+import orjson
+
+from damaskramp.relay.beliefs import Beliefs
+from damaskramp.relay.execution import Executor
+from damaskramp.relay.peers import Peers
+
+__all__ = ["NO_OBJECTIVES", "status_page"]
+
+NO_OBJECTIVES = b"a relay node keeps no windows of objectives: read its /metrics\n"
+"""Answer to who asks for service-level objectives."""
+
+
+def status_page(
+    beliefs: Beliefs, executor: Executor, peers: Peers, state: str
+) -> bytes:
+    """JSON document for ``damaskramp-status``."""
+    load = executor.load
+    configuration = beliefs.configuration
+    bundle = None
+    if configuration is not None:
+        digest = hashlib.sha256(configuration.document).hexdigest()
+        bundle = {"version": configuration.version, "digest": digest}
+    members = [
+        {"host": host, "zone": zone, "state": peers.state_of(host)}
+        for host, zone in beliefs.directory.hosts()
+    ]
+    return orjson.dumps(
+        {
+            "host": beliefs.host,
+            "zone": beliefs.zone,
+            "state": state,
+            "bundle": bundle,
+            "belief_age_seconds": round(beliefs.freshness.age, 3)
+            if configuration is not None
+            else None,
+            "members": members,
+            "backend": {
+                "service": beliefs.service,
+                "running": load.running,
+                "waiting": load.waiting,
+                "limit": load.limit,
+            },
+        }
+    )
--- /dev/null
+++ b/tests/test_relay_status.py
@@ -0,0 +1,39 @@
+"""What the operators' programs show of relay nodes."""
+
+import asyncio
+import json
+
+from tests.relay_fleet import RelayTestCase
+from tests.test_operators_view import run_program
+
+
+class TestRelayStatus(RelayTestCase):
+    def ask(self, program, *flags):
+        async def scenario(fleet):
+            addresses = [f"--node={fleet.settings(n).metrics}" for n in range(2)]
+            await fleet.until(lambda: all(node.ready for node in fleet.nodes))
+            return await asyncio.to_thread(run_program, program, *addresses, *flags)
+
+        return self.play(scenario, ("svc", "far"))
+
+    def test_status_shows_version_members_and_server(self):
+        code, out = self.ask("status", "--json")
+        self.assertEqual(0, code)
+        first, second = json.loads(out)
+        self.assertEqual("svc", first["backend"]["service"])
+        self.assertEqual(1, first["bundle"]["version"])
+        self.assertEqual(first["bundle"], second["bundle"])
+        self.assertEqual({"live"}, {member["state"] for member in first["members"]})
+        self.assertLess(first["belief_age_seconds"], 5.0)
+
+    def test_status_as_a_table(self):
+        code, out = self.ask("status")
+        self.assertEqual(0, code)
+        self.assertIn("2 of 2 nodes reached", out)
+        self.assertIn("2 live", out)
+
+    def test_burn_says_that_relay_nodes_keep_no_objectives(self):
+        code, out = self.ask("burn")
+        self.assertEqual(3, code)
+        self.assertIn("0 of 2 nodes read; 2 not read: status 404", out)
+        self.assertIn("read its /metrics", out)
