A node at rest costs nearly the same at any size; benchmark of it

Cause: the list of hosts was sorted anew, and the zone's readers ranked, some fifteen times a second: 0.14 % of a core a node at 12 nodes, 0.21 at 48, 0.57 at 200 (python -m benchmarks.relay_idle, new).

Change: the list is kept until it changes, or for a second; the readers as long as it.

--- /dev/null
+++ b/benchmarks/relay_idle.py
@@ -0,0 +1,168 @@
+"""What a relay node costs at rest, by the size of the fleet.
+
+Run with ``python -m benchmarks.relay_idle [--sizes 12,48,200]``. Some processes hold
+the nodes, each at an address of its own on loopback; the store's stand-in is in this
+one. Printed for each size: processor time of a node as a part of a core, bytes that it
+sends to other nodes a second, calls of all nodes to the store, and the oldest proof of
+the configuration that a node had. Nothing is asked for meanwhile.
+"""
+
+import argparse
+import asyncio
+import multiprocessing
+import resource
+from dataclasses import dataclass
+
+from damaskramp.core import Counters
+from damaskramp.platform import PLATFORM_HEADERS, READINESS_PATH, MetadataStore
+from damaskramp.relay import peer_link
+from damaskramp.relay.node import RelayNode
+from damaskramp.relay.settings import RelaySettings
+from tests.relay_fleet import CLUBS, StoreStandIn, configuration, route
+
+NODES_A_PROCESS = 25
+SETTLE_SECONDS = 15.0
+SPAN_SECONDS = 15.0
+LOOK_SECONDS = 0.5
+
+
+@dataclass(frozen=True)
+class Usage:
+    """What the nodes of one process used in the span."""
+
+    processor_seconds: float
+    sent_bytes: int
+    store_calls: int
+    oldest_proof: float
+
+
+def _host(n):
+    return f"127.88.{n // 200}.{n % 200 + 1}"
+
+
+def _zones(size):
+    return max(3, min(8, size // 25))
+
+
+def _settings(n, size, store):
+    host = _host(n)
+    return RelaySettings(
+        host=f"host-{n}",
+        zone=f"z{n % _zones(size)}",
+        callers=f"{host}:8101",
+        peers=f"{host}:8102",
+        readiness=f"{host}:8103",
+        metrics=f"{host}:8104",
+        backend_service="svc",
+        backend_address=f"{host}:8105",
+        platform_address=store,
+    )
+
+
+def _count_sent_bytes():
+    """Have links between nodes add up what they write; return the sum's holder."""
+    sent = [0]
+    flush = peer_link._Stream._flush
+
+    def counted(stream):
+        sent[0] += sum(map(len, stream._out))
+        flush(stream)
+
+    peer_link._Stream._flush = counted
+    return sent
+
+
+def _hold_nodes(numbers, size, store, pipe):
+    sent = _count_sent_bytes()
+
+    async def run():
+        counters = Counters()
+        nodes = []
+        for n in numbers:
+            settings = _settings(n, size, store)
+            source = MetadataStore(store, counters)
+            nodes.append(
+                RelayNode(settings, source, PLATFORM_HEADERS, READINESS_PATH, counters)
+            )
+            await nodes[-1].start()
+        await asyncio.sleep(SETTLE_SECONDS)
+        before, sent_before = _processor_seconds(), sent[0]
+        calls_before = counters.values.get(("store_calls", ""), 0)
+        oldest = 0.0
+        for _ in range(round(SPAN_SECONDS / LOOK_SECONDS)):
+            await asyncio.sleep(LOOK_SECONDS)
+            oldest = max(oldest, *(node._beliefs.freshness.age for node in nodes))
+        pipe.send(
+            Usage(
+                _processor_seconds() - before,
+                sent[0] - sent_before,
+                counters.values.get(("store_calls", ""), 0) - calls_before,
+                oldest,
+            )
+        )
+
+    asyncio.run(run())
+
+
+def _processor_seconds():
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+async def _measure(size):
+    store = StoreStandIn()
+    store.put("op/config", configuration(1, [route("svc", "/")], CLUBS))
+    for n in range(size):
+        entry = {
+            "service": "svc",
+            "address": f"{_host(n)}:8105",
+            "zone": f"z{n % _zones(size)}",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "warmup-left": "0ms",
+            "sequence": 1,
+            "born": 1000 + n,
+        }
+        store.put(f"servers/i-{n}", entry)
+    address = await store.start("127.88.255.1")
+    pipes, processes = [], []
+    for first in range(0, size, NODES_A_PROCESS):
+        numbers = range(first, min(size, first + NODES_A_PROCESS))
+        here, there = multiprocessing.Pipe()
+        arguments = (numbers, size, address, there)
+        process = multiprocessing.Process(target=_hold_nodes, args=arguments)
+        process.start()
+        pipes.append(here)
+        processes.append(process)
+    found = []
+    for pipe in pipes:
+        while not pipe.poll():
+            await asyncio.sleep(0.1)
+        found.append(pipe.recv())
+    for process in processes:
+        while process.is_alive():
+            await asyncio.sleep(0.1)
+    await store.stop()
+    share = sum(u.processor_seconds for u in found) / size / SPAN_SECONDS
+    sent = sum(u.sent_bytes for u in found) / size / SPAN_SECONDS
+    calls = sum(u.store_calls for u in found) / SPAN_SECONDS
+    oldest = max(u.oldest_proof for u in found)
+    print(
+        f"{size:4} nodes: {100 * share:5.2f} % of a core a node, "
+        f"{sent / 1024:5.2f} KB/s sent a node, {calls:5.1f} calls to the store a "
+        f"second, oldest proof {oldest:4.2f} s",
+        flush=True,
+    )
+
+
+def main():
+    """Measure each size."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--sizes", default="12,48,200")
+    for size in parser.parse_args().sizes.split(","):
+        asyncio.run(_measure(int(size)))
+
+
+if __name__ == "__main__":
+    main()
--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -25,6 +25,11 @@
 windows that rates are counted over, so that a shrinking list raises no share early."""
 
 
+HOSTS_SECONDS = 1.0
+"""Time for which the list of hosts is kept, so that asking for it many times a second
+costs the same at any size; a small part of the memory of hosts."""
+
+
 class Directory:
     """Descriptions of backend servers by id.
 
@@ -44,6 +49,7 @@
         self._hold_until = float("-inf")
         self._revision = Revision(0)
         self._generation = 0
+        self._hosts: tuple[float, int, list[tuple[str, ZoneName]]] = (0.0, -1, [])
 
     @property
     def revision(self) -> Revision:
@@ -94,14 +100,22 @@
         return self.merge((), held.items())
 
     def hosts(self) -> list[tuple[str, ZoneName]]:
-        """Hosts that are listed or were a short time ago, with their zone."""
+        """Hosts that are listed or were a short time ago, with their zone.
+
+        The list is the same object until it has changed, or for a second.
+        """
         now = self._clock()
+        found_at, generation, hosts = self._hosts
+        if generation == self._generation and now - found_at < HOSTS_SECONDS:
+            return hosts
         for server in self._servers.values():
             self._hosts_seen[server.host] = (now, server.zone)
         for host, (seen, _) in list(self._hosts_seen.items()):
             if now - seen > HOST_MEMORY_SECONDS:
                 del self._hosts_seen[host]
-        return [(host, zone) for host, (_, zone) in sorted(self._hosts_seen.items())]
+        hosts = [(host, zone) for host, (_, zone) in sorted(self._hosts_seen.items())]
+        self._hosts = (now, self._generation, hosts)
+        return hosts
 
     def merge(
         self,
--- a/damaskramp/relay/beliefs.py
+++ b/damaskramp/relay/beliefs.py
@@ -8,6 +8,7 @@
 from damaskramp.dispatch import RouteTable, Suspects
 from damaskramp.fleet import BackendServer, Directory, FleetConfiguration, Freshness
 from damaskramp.fleet.model import Team
+from damaskramp.relay.readers import zone_readers
 
 __all__ = ["Beliefs", "KeyHolder", "key_digest"]
 
@@ -63,6 +64,7 @@
         self._digests: set[bytes] = set()
         self._own: BackendServer | None = None
         self._own_generation = -1
+        self._readers: tuple[list[tuple[str, ZoneName]], list[str]] = ([], [])
         self.directory = Directory(clock)
         self.freshness = Freshness()
         self.suspects = suspects
@@ -122,6 +124,14 @@
         own = self.own_server
         return own is not None and own.leaving
 
+    @property
+    def readers(self) -> list[str]:
+        """Hosts of the own availability zone that read the platform for it."""
+        hosts = self.directory.hosts()
+        if self._readers[0] is not hosts:
+            self._readers = (hosts, zone_readers(hosts, self._zone))
+        return self._readers[1]
+
     def change_key_seconds(self, key_seconds: float) -> None:
         """Set the longest age of the configuration at which keys are honoured."""
         self._key_seconds = key_seconds
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -24,7 +24,6 @@
 from damaskramp.relay.execution import CallReply
 from damaskramp.relay.messages import Call, Kind
 from damaskramp.relay.peer_link import Lent, LinkState, PeerLink
-from damaskramp.relay.readers import zone_readers
 
 __all__ = ["Peers"]
 
@@ -144,9 +143,8 @@
 
     def _asked_hosts(self, hosts: set[str]) -> list[str]:
         """A reader of the own zone, which has the youngest proof, and others."""
-        beliefs = self._beliefs
-        readers = zone_readers(beliefs.directory.hosts(), beliefs.zone)
-        near = [host for host in readers if host in hosts - self._unreachable]
+        readers = set(self._beliefs.readers)
+        near = sorted((readers & hosts) - self._unreachable)
         asked = self._random.sample(near, min(1, len(near)))
         rest = sorted(hosts - set(asked))
         count = ASKED_PEERS + 1 - len(asked)
--- a/damaskramp/relay/watcher.py
+++ b/damaskramp/relay/watcher.py
@@ -23,7 +23,6 @@
     SourceError,
 )
 from damaskramp.relay.beliefs import Beliefs
-from damaskramp.relay.readers import zone_readers
 
 __all__ = ["Watcher", "WatcherSettings"]
 
@@ -148,8 +147,7 @@
 
     def _is_reader(self) -> bool:
         """Whether this node reads for its zone."""
-        beliefs = self._beliefs
-        return beliefs.host in zone_readers(beliefs.directory.hosts(), beliefs.zone)
+        return self._beliefs.host in self._beliefs.readers
 
     async def _attempt(
         self, work: Callable[[], Awaitable[None]], asked_at: float
