--- a/benchmarks/relay_cost.py
+++ b/benchmarks/relay_cost.py
@@ -1,37 +1,64 @@
-"""Processor time of a request over two relay nodes, against earlier ways.
+"""Processor time of a request over two relay nodes: loops, and logs.
 
 Run with ``python -m benchmarks.relay_cost``. Two nodes in a process of their own each,
 a backend server and a store in this one. Printed for each way: processor time of both
-nodes for a request, and times seen by the caller. ``--profile FILE`` has the entry node
-write a profile.
+nodes for a request, and times seen by the caller. Then, with uvloop, half of the
+requests to a route whose server refuses, and logs off, with the default bound, and
+without a bound; lines go to a file. ``--profile FILE`` has the entry node write a
+profile.
 """
 
 import argparse
 import asyncio
 import cProfile
+import logging
 import multiprocessing
+import os
 import resource
 import statistics
+import tempfile
 import time
+from dataclasses import replace
 
 import uvloop
 
 from damaskramp.core import Counters
 from damaskramp.platform import PLATFORM_HEADERS, READINESS_PATH, MetadataStore
+from damaskramp.relay.decision_log import NonBlockingHandler
 from damaskramp.relay.node import RelayNode
-from tests.relay_fleet import CLUBS, RelayFleet, configuration, read_answer, route
+from tests.relay_fleet import (
+    CLUBS,
+    RelayFleet,
+    configuration,
+    ok,
+    read_answer,
+    route,
+)
 
 REQUESTS = 8000
 CALLERS = 16
 REQUEST = (
-    b"GET /a/%d HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q%d\r\n"
+    b"GET %b/%d HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q%d\r\n"
     b"X-Timeout-Ms: 5000\r\nAuthorization: Token key-1\r\n\r\n"
 )
+LOG_BOUNDS = {"off": 0.0, "default": 20.0, "full": 1e6}
+"""Lines a second about single decisions."""
+
 
+def _refuse_some(request):
+    """A server that fails each request under /bad."""
+    if request.startswith(b"GET /bad"):
+        return ok(request, status=b"500 Internal Server Error")
+    return ok(request)
 
-def _serve(settings, pipe, loop, profile):
+
+def _serve(settings, pipe, loop, profile, log_file):
     """Run one node in this process; tell its processor time on request."""
     profiler = cProfile.Profile() if profile else None
+    if log_file:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        handler = NonBlockingHandler(os.open(log_file, flags), Counters())
+        logging.basicConfig(level=logging.INFO, handlers=[handler])
 
     async def run():
         counters = Counters()
@@ -65,17 +92,22 @@
 class _ProcessFleet(RelayFleet):
     """Nodes in processes of their own."""
 
-    def __init__(self, loop, profile):
-        super().__init__(["svc", "far"])
+    def __init__(self, loop, profile="", log_bound=None, log_file=""):
+        super().__init__(["svc", "far"], [None, _refuse_some])
         self._loop = loop
         self._profile = profile
+        self._log_bound = log_bound
+        self._log_file = log_file
         self.pipes = []
         self.processes = []
 
     async def start_node(self, n):
         here, there = multiprocessing.Pipe()
         profile = f"{self._profile}.{n}" if self._profile else None
-        arguments = (self.settings(n), there, self._loop, profile)
+        settings = self.settings(n)
+        if self._log_bound is not None:
+            settings = replace(settings, log_lines_per_second=self._log_bound)
+        arguments = (settings, there, self._loop, profile, self._log_file)
         process = multiprocessing.Process(target=_serve, args=arguments)
         process.start()
         self.processes.append(process)
@@ -102,7 +134,7 @@
         await super().stop()
 
 
-async def _load(fleet, requests):
+async def _load(fleet, requests, paths=(b"/a",)):
     times = []
     counter = iter(range(requests))
 
@@ -110,9 +142,10 @@
         reader, writer = await fleet.connect(0)
         for n in counter:
             began = time.perf_counter()
-            writer.write(REQUEST % (n, n))
+            path = paths[n % len(paths)]
+            writer.write(REQUEST % (path, n, n))
             status, _, _ = await read_answer(reader)
-            assert status == 200, status
+            assert status == (500 if path == b"/bad" else 200), status
             times.append(time.perf_counter() - began)
         writer.close()
 
@@ -141,14 +174,37 @@
     )
 
 
+async def _measure_logs(name, bound):
+    with tempfile.NamedTemporaryFile() as file:
+        fleet = _ProcessFleet(uvloop.new_event_loop, "", bound, file.name)
+        try:
+            await fleet.start(configuration(1, [route("far", "/")], CLUBS))
+            paths = (b"/a", b"/bad")
+            await _load(fleet, 500, paths)
+            before, began = await fleet.used(), time.perf_counter()
+            file.read()
+            await _load(fleet, REQUESTS, paths)
+            took = time.perf_counter() - began
+            used = await fleet.used() - before
+            lines = len(file.read().splitlines())
+        finally:
+            await fleet.stop()
+    print(
+        f"logs {name:8} {1e3 * used / REQUESTS:7.3f} ms processor time a request, half "
+        f"of them failed, {lines / took:8.1f} lines a second from both nodes"
+    )
+
+
 def main():
-    """Measure the relay on both loops."""
+    """Measure the relay on both loops, and with more or fewer logs."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--profile", default="")
     profile = parser.parse_args().profile
     asyncio.run(_measure("uvloop", uvloop.new_event_loop, profile))
     if not profile:
         asyncio.run(_measure("asyncio", asyncio.new_event_loop, profile))
+        for name, bound in LOG_BOUNDS.items():
+            asyncio.run(_measure_logs(name, bound))
 
 
 if __name__ == "__main__":
