--- a/damaskramp/quota/owner.py
+++ b/damaskramp/quota/owner.py
@@ -1,7 +1,5 @@
 """The owner of a team's share in a zone: who gets which lease."""
 
-from dataclasses import dataclass, field
-
 from numpy.random import Generator
 
 from damaskramp.core import HostId, Incarnation, TeamId, TimerService, ZoneName
@@ -20,6 +18,13 @@
 from damaskramp.quota.mint import Mint
 from damaskramp.quota.settings import QuotaSettings
 from damaskramp.quota.shares import Allotment, ShareLedger
+from damaskramp.quota.team_share import (
+    BorrowerDemand,
+    TeamShare,
+    held_level,
+    loan_mint,
+    standing_loan,
+)
 
 __all__ = ["QuotaOwner", "thing_of"]
 
@@ -29,7 +34,6 @@
 """Demand that a zone provides for, as a multiple of what it sees."""
 HANDOVER_SECONDS = 30.0
 LOOKS_A_LEASE = 8
-ASKING_SECONDS = 1.0
 UNBOUNDED_BORROWERS = 4
 """Borrowers that may ask for waiting requests as soon as they come."""
 
@@ -41,58 +45,6 @@
     return f"quota/{team}"
 
 
-@dataclass(slots=True)
-class _Demand:
-    """What a borrower needs; `wanted` is its last ask for waiting requests."""
-
-    rate: float
-    want: float
-    until: float
-    wanted: float
-
-
-@dataclass(slots=True)
-class TeamShare:
-    """State of one owned team.
-
-    Attributes
-    ----------
-    minting_from : float
-        Until then leases of a former owner may still run.
-    minting : bool
-        Whether the share is minted: the wait is over and no greater bundle known.
-    loans : dict of int to Mint
-        Mints of the leases that other zones gave, by lease number.
-    asks : dict of ZoneName to (int, float)
-        Number and time of the ask to each zone that may still be answered.
-    asked : dict of ZoneName to float
-        Time of the last ask to each zone.
-    """
-
-    mint: Mint
-    minting_from: float
-    minting: bool = False
-    loans: dict[int, Mint] = field(default_factory=dict)
-    asks: dict[ZoneName, tuple[int, float]] = field(default_factory=dict)
-    asked: dict[ZoneName, float] = field(default_factory=dict)
-    numbers: dict[Borrower, int] = field(default_factory=dict)
-    demands: dict[Borrower, _Demand] = field(default_factory=dict)
-
-    def demand(self, now: float) -> float:
-        """Requests a second of all borrowers of this zone."""
-        self.demands = {b: d for b, d in self.demands.items() if d.until > now}
-        return sum(demand.rate for demand in self.demands.values())
-
-    def unmet(self) -> float:
-        """Permits that waiting requests did not get."""
-        return sum(demand.want for demand in self.demands.values())
-
-    def asking(self, now: float) -> int:
-        """Borrowers that lately asked for waiting requests."""
-        since = now - ASKING_SECONDS
-        return sum(demand.wanted >= since for demand in self.demands.values())
-
-
 class QuotaOwner:
     """Lender side of all teams that this node owns.
 
@@ -255,9 +207,9 @@
         if share is None or until <= now:
             return
         self._drop_ended(share, now)
-        former = _standing_loan(share, grant)
+        former = standing_loan(share, grant)
         if former is None:
-            share.loans[grant.lease] = _loan_mint(self._settings, grant, now, until)
+            share.loans[grant.lease] = loan_mint(self._settings, grant, now, until)
         elif share.loans[former].extend(now, grant, until):
             share.loans[grant.lease] = share.loans.pop(former)
 
@@ -362,7 +314,7 @@
         until = now + max(DEMAND_SECONDS, self._settings.lease_seconds)
         former = share.demands.get(borrower)
         wanted = now if asked.want > 0 or former is None else former.wanted
-        share.demands[borrower] = _Demand(asked.demand, 0.0, until, wanted)
+        share.demands[borrower] = BorrowerDemand(asked.demand, 0.0, until, wanted)
         want = asked.want
         grants = []
         for mint in mints:
@@ -375,7 +327,7 @@
         part = asked.demand / max(total, 1e-9)
         crowded = total > self._settings.asks_per_second
         for mint in mints:
-            level = _level(mint, borrower, asked.holdings)
+            level = held_level(mint, borrower, asked.holdings)
             grant = mint.stand(
                 now, borrower, self._number(), asked.demand, part, level, crowded
             )
@@ -413,7 +365,7 @@
         share.mint.restate(now, borrower, asked.holdings)
         if asked.demand <= 0 and asked.want <= 0:
             return []
-        level = _level(share.mint, borrower, asked.holdings)
+        level = held_level(share.mint, borrower, asked.holdings)
         demand = share.demand(now)
         wanted = max(asked.demand, asked.want)
         grant = share.mint.lend(now, borrower, self._number(), wanted, demand, level)
@@ -444,27 +396,3 @@
     def _number(self) -> int:
         self._lease += 1
         return self._lease
-
-
-def _standing_loan(share: TeamShare, grant: Grant) -> int | None:
-    """Loan that a grant renews."""
-    for number, loan in share.loans.items():
-        if grant.standing and loan.rate > 0 and loan.source == grant.source:
-            return number
-    return None
-
-
-def _loan_mint(settings: QuotaSettings, grant: Grant, now: float, until: float) -> Mint:
-    return Mint(
-        settings,
-        grant.source,
-        now,
-        grant.rate,
-        grant.capacity,
-        grant.amount,
-        until,
-    )
-
-
-def _level(mint: Mint, borrower: Borrower, held: tuple[Holding, ...]) -> float:
-    return sum(h.level for h in held if h.standing and mint.knows(borrower, h.lease))
