A silent lender holds a team's requests for 0.06 s, not 0.6 s

Cause, found by reading: requests of a team wait for the answer of one lender, and a lender that is frozen or cut off counts as lost only after 0.6 s of silence; a latency target may be 0.15 s.

Change: after 0.06 s another lender is asked; permits that come late still count.

--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -160,7 +160,7 @@
             SharedRateSettings(),
             self._beliefs,
             self._peers,
-            clock,
+            self._timers,
             counters,
             random_source,
         )
--- a/damaskramp/relay/permits.py
+++ b/damaskramp/relay/permits.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from damaskramp.core import Counters, TeamId
+from damaskramp.core import Counters, TeamId, TimerService
 from damaskramp.dispatch import SharedRateSettings, TeamRates
 from damaskramp.fleet.model import Team
 from damaskramp.relay.beliefs import Beliefs
@@ -15,6 +15,11 @@
 """Keepers asked before a request is refused; each takes a round trip. A small team has
 one in each zone, and a request may need parts of a permit from all of them."""
 
+LENDER_SECONDS = 0.06
+"""Wait for a lender, after which another is asked: many round trips between zones, and
+a part of the shortest latency targets. A lost host is silent for ten times as long
+before its link counts as broken."""
+
 WAITING_REQUESTS = 64
 """Requests of a team that wait for permits at a time; more would be refused anyway."""
 
@@ -29,13 +34,13 @@
         settings: SharedRateSettings,
         beliefs: Beliefs,
         peers: Peers,
-        clock: Callable[[], float],
+        timers: TimerService,
         counters: Counters,
         random_source: random.Random,
     ) -> None:
         self._beliefs = beliefs
         self._peers = peers
-        self._clock = clock
+        self._timers = timers
         self._counters = counters
         self._rates = TeamRates(settings, beliefs.host, random_source)
         self._waiting: dict[TeamId, list[Admitted]] = {}
@@ -49,7 +54,7 @@
         if rate is None:
             done(True)
             return
-        now = self._clock()
+        now = self._timers.now
         rate.requested(now)
         waiting = self._waiting.get(team.name)
         if waiting is None and rate.take(now):
@@ -74,7 +79,7 @@
         rate = self._rates.find(TeamId(team))
         if rate is None:
             return 0.0, 0.0
-        return rate.lend(least, most, self._clock()), rate.level
+        return rate.lend(least, most, self._timers.now), rate.level
 
     def take_back(self, team: str, amount: float) -> None:
         """Take permits that another host could not use."""
@@ -94,22 +99,31 @@
         reachable = self._peers.reachable(self._rates.keepers(team.name))
         others = [host for host in reachable if host not in asked]
         near = self._peers.in_own_zone(others)
-        lender = lenders.best(others, near, least, most, self._clock())
+        lender = lenders.best(others, near, least, most, self._timers.now)
         if lender is None:
             self._settle(team, asked)
             return
 
         def lent(given: float, left: float) -> None:
             rate.credit(given)
-            lenders.answered(lender, least, given, left, self._clock())
+            lenders.answered(lender, least, given, left, self._timers.now)
+            if not overdue.cancelled:
+                overdue.cancel()
+                self._ask(team, [*asked, lender])
+
+        def give_up() -> None:
+            # Its permits still count when they come.
+            overdue.cancel()
+            lenders.answered(lender, least, 0.0, 0.0, self._timers.now)
             self._ask(team, [*asked, lender])
 
         self._counters.add("permits", reason="asked")
+        overdue = self._timers.after(LENDER_SECONDS, give_up)
         self._peers.borrow(lender, team.name, least, most, lent)
 
     def _settle(self, team: Team, asked: list[str]) -> None:
         rate = self._rates.find(team.name)
-        now = self._clock()
+        now = self._timers.now
         for done in self._waiting.pop(team.name, []):
             granted = rate is None or rate.take(now)
             self._counters.add("permits", reason="lent" if granted else "refused")
@@ -128,4 +142,4 @@
         if beliefs.configuration is None:
             return
         hosts = beliefs.directory.hosts()
-        self._rates.update(beliefs.configuration.teams, hosts, self._clock())
+        self._rates.update(beliefs.configuration.teams, hosts, self._timers.now)
--- /dev/null
+++ b/damaskramp/relay/tests/test_permits.py
@@ -0,0 +1,87 @@
+"""Permits where a lender does not answer."""
+
+import random
+
+from testtools import TestCase
+
+from damaskramp.core import Counters
+from damaskramp.core.timers import VirtualTimers
+from damaskramp.dispatch import SharedRateSettings, Suspects, SuspectSettings
+from damaskramp.fleet import BackendServer, FleetConfiguration, Team
+from damaskramp.relay.beliefs import Beliefs
+from damaskramp.relay.permits import Permits
+
+TEAM = Team("clubs", frozenset(), None, rate=3.0, burst=3.0)
+KEEPERS = 3
+
+
+class StandInPeers:
+    """Other hosts: the first that is asked is silent, the others lend."""
+
+    def __init__(self):
+        self.asked = []
+        self.late = None
+
+    def reachable(self, hosts):
+        return [host for host in hosts if host != "10.0.0.1"]
+
+    def in_own_zone(self, hosts):
+        return set()
+
+    def borrow(self, host, team, least, most, done):
+        self.asked.append(host)
+        if len(self.asked) == 1:
+            self.late = done
+        else:
+            done(1.0, 0.0)
+
+    def give_back(self, host, team, amount):
+        raise AssertionError("whole permits are not given back")
+
+
+class TestSilentLender(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimers()
+        beliefs = Beliefs(
+            "10.0.0.1",
+            "a",
+            "draws",
+            "10.0.0.1:80",
+            3.5,
+            lambda: self.timers.now,
+            Suspects(SuspectSettings()),
+        )
+        beliefs.directory.merge(
+            BackendServer(
+                f"i-{n}", "draws", f"10.0.0.{n}:80", "abc"[n % 3], 8, False, 0.0, 0, n
+            )
+            for n in range(1, 7)
+        )
+        beliefs.take(FleetConfiguration(1, (), (TEAM,)))
+        self.peers = StandInPeers()
+        self.permits = Permits(
+            SharedRateSettings(),
+            beliefs,
+            self.peers,
+            self.timers,
+            Counters(),
+            random.Random(1),
+        )
+        self.admitted = []
+        while not self.peers.asked:
+            # What this host may keep itself is used up first.
+            self.permits.admit(TEAM, self.admitted.append)
+        self.before = len(self.admitted)
+
+    def test_another_lender_is_asked_soon(self):
+        self.timers.advance(0.1)
+        self.assertEqual([True], self.admitted[self.before :])
+        self.assertEqual(2, len(set(self.peers.asked)))
+
+    def test_permits_that_come_late_still_count(self):
+        self.timers.advance(0.1)
+        self.peers.late(1.0, 0.0)
+        self.permits.admit(TEAM, self.admitted.append)
+        self.assertEqual([True, True], self.admitted[self.before :])
+        self.assertEqual(2, len(self.peers.asked))
