--- /dev/null
+++ b/tests/test_relay_rates.py
@@ -0,0 +1,51 @@
+"""Rates of teams over real links between nodes."""
+
+import time
+
+from tests.relay_fleet import CLUBS, RelayTestCase, configuration, route
+
+RATE = 40
+"""Requests a second of the team; its burst is as large. The two zones of the fleet
+have one keeper each, with half of it."""
+
+
+def rated(rate=RATE, version=1):
+    tenants = {"clubs": {**CLUBS["clubs"], "rate-per-s": rate, "burst": rate}}
+    return configuration(version, [route("svc", "/")], tenants)
+
+
+class TestRates(RelayTestCase):
+    SERVICES = ("svc", "svc", "svc", "svc")
+
+    def ask_many(self, fleet_action):
+        async def scenario(fleet):
+            return await fleet_action(fleet)
+
+        return self.play(scenario, self.SERVICES, rated())
+
+    def test_host_that_gets_all_requests_has_the_whole_rate(self):
+        async def flood(fleet):
+            began = time.monotonic()
+            statuses = [(await fleet.ask("/a"))[0] for _ in range(3 * RATE)]
+            return statuses, time.monotonic() - began
+
+        statuses, took = self.ask_many(flood)
+        served = statuses.count(200)
+        self.assertLessEqual(set(statuses), {200, 429})
+        # More than its own half of the burst, and never more than the team may have:
+        # permits of the start, and those minted meanwhile.
+        self.assertGreater(served, RATE * 0.75)
+        self.assertLessEqual(served, RATE + RATE * took + 1)
+
+    def test_all_hosts_together_keep_to_the_rate(self):
+        async def flood(fleet):
+            began = time.monotonic()
+            served = 0
+            for n in range(4 * RATE):
+                status, *_ = await fleet.ask("/a", n % 4)
+                served += status == 200
+            return served, time.monotonic() - began
+
+        served, took = self.ask_many(flood)
+        self.assertLessEqual(served, RATE + RATE * took + 1)
+        self.assertGreater(served, RATE * 0.75)
