--- a/benchmarks/relay_floor.py
+++ b/benchmarks/relay_floor.py
@@ -13,6 +13,7 @@
 import asyncio
 import multiprocessing
 import tempfile
+from itertools import pairwise
 from pathlib import Path
 
 import uvloop
@@ -89,7 +90,7 @@
         hops = ["127.99.0.1:8301", "127.99.0.2:8301", fleet.backend("board-1")]
         processes = [
             multiprocessing.Process(target=_forward, args=pair, daemon=True)
-            for pair in zip(hops, hops[1:], strict=False)
+            for pair in pairwise(hops)
         ]
         for process in processes:
             process.start()
