--- a/damaskramp/node/tests/fake_fleet.py
+++ b/damaskramp/node/tests/fake_fleet.py
@@ -7,28 +7,19 @@
 """
 
 import asyncio
-import hashlib
 from dataclasses import dataclass
-from datetime import UTC, datetime
-from enum import Enum
 
 import numpy as np
-import orjson
-from expression import Error, Ok, Result
 
-from damaskramp.admission import EarlyRefusal, FixedAdmission, Refusal
+from damaskramp.admission import EarlyRefusal, FixedAdmission
 from damaskramp.balancing import RoundRobin
 from damaskramp.bundle import (
     BundleView,
-    SigningKey,
-    parse_bundle_source,
-    sign_bundle,
 )
 from damaskramp.config import DedupSettings, NodeSettings
 from damaskramp.core import (
     HostId,
     Incarnation,
-    Reason,
     Section,
     ServiceName,
     VirtualTimers,
@@ -39,27 +30,30 @@
 from damaskramp.http import (
     HttpRequest,
     HttpResponse,
-    TransportError,
-    TransportErrorKind,
 )
 from damaskramp.membership import LocalBroadcast, Member, MemberTable
-from damaskramp.node.calls import Call, Reply
 from damaskramp.node.containment import Containment
 from damaskramp.node.contexts import ContextTable
 from damaskramp.node.dispatch import Dispatcher
 from damaskramp.node.entry import Entry
 from damaskramp.node.execution import Executor
 from damaskramp.node.home import Home
-from damaskramp.node.home_messages import ClaimCopy, CopyResult, HomeCall, HomeMessages
 from damaskramp.node.home_router import HomeRouter
 from damaskramp.node.lifecycle import Lifecycle
 from damaskramp.node.objectives import ObjectiveKeeper
 from damaskramp.node.releases import ReleaseGuard
 from damaskramp.node.retrying import RetryAllowances
 from damaskramp.node.telemetry import Telemetry
-from damaskramp.ownership import Owner, Ownership, rank_members
+from damaskramp.node.tests.fake_bundle import KEYS, ZONES, bundle_text, bundle_view
+from damaskramp.node.tests.fake_parts import (
+    BackendFate,
+    FakeBackend,
+    FakeLimiter,
+    FakeMessages,
+    FakeOwnership,
+    FakePeers,
+)
 from damaskramp.quarantine import Quarantine
-from damaskramp.quota import RateLimiter
 from damaskramp.retries import Backoff, HintSpreader
 from damaskramp.testing.history import Execution
 
@@ -67,200 +61,7 @@
 
 STEP_SECONDS = 0.05
 TURNS_A_STEP = 12
-ZONES = ("north", "south")
 HOSTS_A_ZONE = 3
-KEYS = {"clubs": b"key-clubs", "schools": b"key-schools"}
-SIGNER = SigningKey(bytes(range(32)))
-
-
-def bundle_view(
-    retention: float = 8.0, first_start: bool = False, issued: float = 0.0
-) -> BundleView:
-    """Bundle in force from `bundle_text`."""
-    text = bundle_text(retention, first_start, issued)
-    return BundleView(sign_bundle(parse_bundle_source(text, "test").ok, SIGNER))
-
-
-def bundle_text(retention: float, first_start: bool, issued: float) -> str:
-    """Bundle with one service, two teams and an idempotent and another route."""
-    teams = "".join(
-        f'[[teams]]\nname = "{team}"\nrate = 100000.0\nburst = 100000\n'
-        f'[[keys]]\nteam = "{team}"\n'
-        f'digest = "{hashlib.sha256(key).hexdigest()}"\n'
-        for team, key in KEYS.items()
-    )
-    routes = "".join(
-        f'[[routes]]\nservice = "slots"\nprefix = "{prefix}"\npriority = "all"\n'
-        f"idempotent = {idempotent}\ntimeout_seconds = 1.0\n"
-        for prefix, idempotent in (("/book", "false"), ("/read", "true"))
-    )
-    moment = datetime.fromtimestamp(issued, UTC).isoformat()
-    return f"""\
-[bundle]
-version = 1
-issued = {moment}
-zones = {list(ZONES)!r}
-classes = ["all"]
-repeat_window_seconds = {retention}
-first_start = {str(first_start).lower()}
-{teams}
-[[services]]
-name = "slots"
-slots = 16
-connections = 64
-backend_servers = 6
-shed_means_not_run = true
-{routes}"""
-
-
-class BackendFate(Enum):
-    """What becomes of every request at a backend server."""
-
-    CONNECT_FAILED = 0.5
-    SHED = 1.5
-    BROKEN = 2.5
-    ANSWERED = 3.5
-
-    @property
-    def share(self) -> float:
-        """Place among the drawn fates."""
-        return self.value
-
-
-class FakeLimiter(RateLimiter):
-    """Refuses a share of the requests."""
-
-    def __init__(self, fleet: "FakeFleet") -> None:
-        self._fleet = fleet
-
-    async def take(self, team: str, deadline: float) -> Result[None, Refusal]:
-        """Admit or refuse by chance."""
-        if self._fleet.chance(self._fleet.over_rate):
-            return Error(Refusal(Reason.TEAM_OVER_RATE))
-        return Ok(None)
-
-
-class FakeOwnership(Ownership):
-    """Ownership by the view that the node holds."""
-
-    def __init__(self, node: "FakeNode") -> None:
-        self._node = node
-        self.since = node.fleet.timers.now
-
-    @property
-    def active(self) -> bool:
-        return any(m.host == self._node.host for m in self._node.view)
-
-    @property
-    def active_since(self) -> float:
-        return self.since
-
-    def successors(self, thing: str, count: int) -> tuple[Owner, ...]:
-        ranked = rank_members(self._node.view, thing)[:count]
-        return tuple(Owner(m.host, m.incarnation, m.peer) for m in ranked)
-
-    def owns(self, thing: str) -> bool:
-        owner = self.owner(thing)
-        own = (self._node.host, self._node.incarnation)
-        return owner is not None and (owner.host, owner.incarnation) == own
-
-    def may_release(self, thing: str, releaser: Owner) -> bool:
-        owner = self.owner(thing)
-        if owner is None:
-            return False
-        own = (owner.host, owner.incarnation)
-        return own == (releaser.host, releaser.incarnation)
-
-
-class FakeBackend:
-    """Backend server that runs, sheds, breaks off or refuses connections."""
-
-    def __init__(self, node: "FakeNode") -> None:
-        self._node = node
-
-    async def reachable(self, timeout: float) -> bool:
-        """Whether a connection can be made: the fakes break answers, no process."""
-        return True
-
-    async def request(
-        self, request: HttpRequest, timeout: float
-    ) -> Result[HttpResponse, TransportError]:
-        """Answer one request after some virtual time."""
-        fleet = self._node.fleet
-        fate = fleet.draw() if fleet.fate is None else fleet.fate.share
-        faults = fleet.backend_faults if fleet.fate is None else 1.0
-        if fate < faults:
-            return Error(TransportError(TransportErrorKind.CONNECT, False))
-        await self._node.thawed()
-        if fate < 2 * faults:
-            return Ok(HttpResponse(503))
-        digest = hashlib.sha256(request.target.encode() + request.body).hexdigest()
-        request_id = request.value(b"damaskramp-request-id").decode()
-        team = request.value(b"damaskramp-team").decode()
-        fleet.executions.append(
-            Execution(self._node.host, team, request_id, fleet.timers.now, digest)
-        )
-        seconds = fleet.between(0.0, 2 * fleet.service_seconds)
-        await fleet.sleep(min(seconds, timeout))
-        if seconds >= timeout:
-            return Error(TransportError(TransportErrorKind.TIMEOUT, True))
-        if fate < 3 * faults:
-            return Error(TransportError(TransportErrorKind.BROKEN, True))
-        body = orjson.dumps({"id": request_id, "digest": digest})
-        return Ok(HttpResponse(200, (), body))
-
-
-class FakePeers:
-    """Calls to executing nodes."""
-
-    def __init__(self, node: "FakeNode") -> None:
-        self._node = node
-
-    async def execute(self, member: Member, call: Call) -> Reply:
-        """Have another node run a call."""
-        fleet = self._node.fleet
-        await self._node.thawed()
-        target = fleet.reach(self._node, member.peer)
-        if target is None:
-            return Reply.not_run(Reason.CONNECT_FAILED)
-        reply = await fleet.exchange(
-            self._node, target, lambda: target.executor.execute(call)
-        )
-        return reply or Reply.unknown(Reason.ANSWER_LOST)
-
-
-class FakeMessages(HomeMessages):
-    """Messages between homes, with loss and duplicates."""
-
-    def __init__(self, node: "FakeNode") -> None:
-        self._node = node
-
-    async def run(self, peer: str, home_call: HomeCall) -> Reply | None:
-        """Have a home run a call."""
-        fleet = self._node.fleet
-        await self._node.thawed()
-        target = fleet.reach(self._node, peer)
-        if target is None:
-            return None
-        if fleet.chance(fleet.duplicates):
-            target.spawn(target.home.run(home_call))
-        reply = await fleet.exchange(
-            self._node, target, lambda: target.home.run(home_call)
-        )
-        return reply or Reply.unknown(Reason.ANSWER_LOST)
-
-    async def copy(self, peer: str, copy: ClaimCopy, timeout: float) -> CopyResult:
-        """Have a node keep a copy."""
-        fleet = self._node.fleet
-        await self._node.thawed()
-        target = fleet.reach(self._node, peer)
-        if target is None:
-            return CopyResult.LOST
-
-        async def keep() -> CopyResult:
-            return target.home.keep_copy(copy)
-
-        return await fleet.exchange(self._node, target, keep) or CopyResult.LOST
 
 
 class FakeNode:
