A configuration is in force as far as it can be read

Beside it: an answer of the store of another form than agreed ended the reading task (AttributeError), a document that can't be read at all still counted as proof that keys are current, and a peer's frame with elements of other types was merged as it came.

Change: fields are read one by one and collected as findings with their place. A kind that is not known is never repeated; a route, team or key that can't be used costs its own requests only (503, configuration_unreadable). While the newest document can't be read at all, it proves no key, so keyed requests are refused once the bound for withdrawn keys has passed. Frames of peers are checked by type. The kind upload is known: non-idempotent.

--- a/damaskramp/cli/node.py
+++ b/damaskramp/cli/node.py
@@ -22,12 +22,16 @@
 
 USAGE = """
 damaskramp-node --settings=FILE
+damaskramp-node --settings=FILE --check [--configuration=FILE]
 
 Takes calls from callers and from its own backend server, admits them, and routes
 them to the node beside the chosen backend server. SIGTERM or SIGINT stops it once
 running calls have ended. A settings file with a table [relay] starts a node that
 follows the users' platform; SIGHUP has it read the file again.
 
+--check checks the settings, and with --configuration also a published configuration
+of the users' platform: what a node would refuse or use in another way is printed.
+
 Exit codes: 0 stopped as asked, 1 an address could not be used or calls were cut
 when the drain time ended, 2 bad command line or settings.
 """
@@ -35,6 +39,12 @@
 FLAGS = flags.FlagValues()
 flags.DEFINE_string("settings", "", "TOML file with the settings", flag_values=FLAGS)
 flags.DEFINE_bool("check", False, "check the settings and exit", flag_values=FLAGS)
+flags.DEFINE_string(
+    "configuration",
+    "",
+    "with --check: published configuration to check too",
+    flag_values=FLAGS,
+)
 
 LOGGER = logging.getLogger(__name__)
 
@@ -49,11 +59,15 @@
         return fail(f"damaskramp-node: unexpected argument {arguments[0]!r}")
     if not FLAGS.settings:
         return fail("damaskramp-node: --settings is required")
+    if FLAGS.configuration and not FLAGS.check:
+        return fail("damaskramp-node: --configuration goes with --check")
     # Each kind of node imports only its own parts: start time counts.
     if _asks_for_relay(FLAGS.settings):
         from damaskramp.cli.relay import run_relay
 
-        return run_relay(FLAGS.settings, FLAGS.check)
+        return run_relay(FLAGS.settings, FLAGS.check, FLAGS.configuration)
+    if FLAGS.configuration:
+        return fail("damaskramp-node: --configuration needs settings with [relay]")
     return _run_node()
 
 
--- a/damaskramp/cli/relay.py
+++ b/damaskramp/cli/relay.py
@@ -6,12 +6,19 @@
 import os
 import signal
 import sys
+from pathlib import Path
 
 import uvloop
 
 from damaskramp.cli.common import ExitCode, fail
-from damaskramp.core import Counters, Place
-from damaskramp.platform import PLATFORM_HEADERS, READINESS_PATH, MetadataStore
+from damaskramp.core import Counters, Findings, Place
+from damaskramp.platform import (
+    PLATFORM_HEADERS,
+    READINESS_PATH,
+    DecodeError,
+    MetadataStore,
+    decode_configuration,
+)
 from damaskramp.relay.decision_log import NonBlockingHandler
 from damaskramp.relay.node import RelayNode
 from damaskramp.relay.settings import RelaySettings, load_relay_settings
@@ -28,13 +35,23 @@
 LOGGER = logging.getLogger(__name__)
 
 
-def run_relay(path: str, check_only: bool) -> int:
-    """Run until told to stop; return the exit code."""
+def run_relay(path: str, check_only: bool, configuration: str) -> int:
+    """Run until told to stop, or check; return the exit code.
+
+    Parameters
+    ----------
+    path : str
+        Settings file.
+    check_only : bool
+        Whether to check and not to run.
+    configuration : str
+        File with a published configuration to check; empty for none.
+    """
     loaded = load_relay_settings(path)
     if loaded.is_error():
         return fail(loaded.error)
     if check_only:
-        return ExitCode.OK
+        return _check_configuration(configuration) if configuration else ExitCode.OK
     # What was imported lives as long as the process; the collector need not look at it.
     gc.collect()
     gc.freeze()
@@ -46,6 +63,20 @@
     return uvloop.run(_serve(loaded.ok, path, counters))
 
 
+def _check_configuration(path: str) -> int:
+    """Print what a node would not use as published."""
+    findings = Findings()
+    try:
+        findings.extend(decode_configuration(Path(path).read_bytes()).findings)
+    except (OSError, DecodeError) as error:
+        findings.error(Place(path), str(error))
+    if findings.has_errors:
+        return fail(findings)
+    if findings:
+        print(findings)
+    return ExitCode.OK
+
+
 async def _serve(settings: RelaySettings, path: str, counters: Counters) -> int:
     source = MetadataStore(settings.platform_address, counters)
     node = RelayNode(settings, source, PLATFORM_HEADERS, READINESS_PATH, counters)
--- a/damaskramp/cli/status.py
+++ b/damaskramp/cli/status.py
@@ -74,6 +74,9 @@
         parts.append(f"bundle {text}: {count} nodes")
     if len(versions) > 1:
         parts.append("the nodes do not agree on the bundle")
+    # Nodes on one version have the same findings.
+    found = {text: None for d in reached for text in d.get("findings", ())}
+    parts.extend(found)
     return "\n".join(parts)
 
 
--- a/damaskramp/core/findings.py
+++ b/damaskramp/core/findings.py
@@ -13,7 +13,7 @@
 True
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -81,7 +81,7 @@
         """Record a warning."""
         self._items.append(Finding(place, message, Severity.WARNING))
 
-    def extend(self, other: "Findings") -> None:
+    def extend(self, other: Iterable[Finding]) -> None:
         """Append all findings of `other`."""
         self._items.extend(other)
 
--- a/damaskramp/core/outcomes.py
+++ b/damaskramp/core/outcomes.py
@@ -48,6 +48,7 @@
     STOPPING = "stopping"
     BELIEF_TOO_OLD = "belief_too_old"
     BACKEND_SERVER_LEAVING = "backend_server_leaving"
+    CONFIGURATION_UNREADABLE = "configuration_unreadable"
 
 
 STATUS_BY_REASON = {
@@ -78,5 +79,6 @@
     Reason.STOPPING: 503,
     Reason.BELIEF_TOO_OLD: 503,
     Reason.BACKEND_SERVER_LEAVING: 503,
+    Reason.CONFIGURATION_UNREADABLE: 503,
 }
 """Status of an answer that the system gives itself."""
--- a/damaskramp/fleet/model.py
+++ b/damaskramp/fleet/model.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import NewType
 
+from damaskramp.core.findings import Finding
 from damaskramp.core.ids import BundleVersion, ServiceName, TeamId, ZoneName
 
 __all__ = [
@@ -53,6 +54,8 @@
         Rank; 0 is the most important.
     public : bool
         Whether requests need no key.
+    usable : bool
+        Whether it is known which services the requests may go to; others are refused.
     """
 
     name: str
@@ -65,6 +68,7 @@
     attempts: int
     priority: int
     public: bool
+    usable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +83,10 @@
         Requests a second; 0 means no limit.
     burst : float
         Requests that may come at once beyond the rate.
+    usable : bool
+        Whether its rate is known; the requests of others are refused.
+    keys_complete : bool
+        Whether all its keys could be read.
     """
 
     name: TeamId
@@ -86,6 +94,8 @@
     priority: int | None
     rate: float
     burst: float
+    usable: bool = True
+    keys_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +118,14 @@
         The published form, kept so that hosts can hand it on unchanged.
     max_connections : dict
         Connections that each backend server of a service accepts.
+    routes_complete : bool
+        Whether it is known for all routes which requests are theirs. If not, a request
+        that matches none is not known to have none.
+    keys_complete : bool
+        Whether all keys of all teams are known. If not, a key that no team holds is
+        not known to be wrong.
+    findings : tuple of Finding
+        What could not be read as published.
     """
 
     version: BundleVersion
@@ -116,6 +134,14 @@
     limits: CallerLimits = CallerLimits()
     max_connections: dict[ServiceName, int] = field(default_factory=dict)
     document: bytes = b""
+    routes_complete: bool = True
+    keys_complete: bool = True
+    findings: tuple[Finding, ...] = ()
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests need a key, unless their route is public."""
+        return bool(self.teams) or not self.keys_complete
 
 
 @dataclass(frozen=True, slots=True)
--- a/damaskramp/fleet/sources.py
+++ b/damaskramp/fleet/sources.py
@@ -34,11 +34,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SourceSnapshot:
-    """Everything that is published, with the revision to follow from."""
+    """Everything that is published, with the revision to follow from.
+
+    Attributes
+    ----------
+    problem : str
+        Why the published configuration can't be read; empty where it can, or where
+        there is none.
+    """
 
     configuration: FleetConfiguration | None
     servers: tuple[BackendServer, ...]
     revision: Revision
+    problem: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,12 +57,15 @@
     ----------
     removed : tuple of (ServerId, Revision)
         Descriptions that were deleted, or replaced by ones that can't be read.
+    problem : str
+        Why the newest configuration among the changes can't be read; empty otherwise.
     """
 
     configuration: FleetConfiguration | None
     servers: tuple[BackendServer, ...]
     removed: tuple[tuple[ServerId, Revision], ...]
     revision: Revision
+    problem: str = ""
 
 
 class FleetSource(ABC):
--- a/damaskramp/platform/decode.py
+++ b/damaskramp/platform/decode.py
@@ -1,13 +1,14 @@
 """Bodies of the platform's store turned into the product's types.
 
-An unusable body raises `DecodeError`, which names the field and what is wrong.
+What can't be read in a configuration costs only the requests that need it: the rest of
+the document is in force, and the configuration carries the findings. A body of which
+nothing can be used raises `DecodeError`.
 """
 
+import ipaddress
 from typing import Any
 
-import orjson
-
-from damaskramp.core import parse_seconds
+from damaskramp.core import Findings
 from damaskramp.core.ids import BundleVersion, ServiceName, TeamId, ZoneName
 from damaskramp.fleet.model import (
     BackendServer,
@@ -19,18 +20,31 @@
     Team,
     WeightedService,
 )
+from damaskramp.platform.fields import (
+    DecodeError,
+    Fields,
+    number,
+    read_object,
+    seconds,
+    text,
+    whole_number,
+)
 
 __all__ = ["DecodeError", "decode_configuration", "decode_server"]
 
 STATES = {"ready": False, "draining": True}
 """State of an entry, and whether its server is leaving."""
 
-KINDS = {"idempotent": True, "non_idempotent": False}
-"""Kind of a route, and whether its requests may run more than once."""
+KINDS = {"idempotent": True, "non_idempotent": False, "upload": False}
+"""Kind of a route, and whether its requests may run more than once. Uploads are
+non-idempotent requests with large bodies."""
 
+DEFAULT_TIMEOUT = 5.0
+"""Seconds that a caller waits on a route whose timeout can't be read, unless it sets a
+shorter deadline itself."""
 
-class DecodeError(ValueError):
-    """A body can't be read; the message names the field."""
+NO_SERVICE = ServiceName("")
+"""Stands for a service that can't be read; no backend server belongs to it."""
 
 
 def decode_server(name: str, value: bytes, revision: int) -> BackendServer:
@@ -48,26 +62,26 @@
     DecodeError
         If a field is missing or has another type or an unknown value.
     """
-    entry = _object(value)
-    address = _field(entry, "address", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise DecodeError(f"address: {address!r} is not IP:PORT")
-    state = _field(entry, "state", str)
-    if state not in STATES:
-        raise DecodeError(f"state: {state!r} is not known")
+    entry = read_object(value)
+
+    def read(key: str, reader: Any, default: object = None) -> Any:
+        try:
+            return reader(entry.get(key, default))
+        except DecodeError as error:
+            raise DecodeError(f"{key}: {error}") from error
+
     return BackendServer(
         id=ServerId(name),
-        service=ServiceName(_text(entry, "service")),
-        address=address,
-        zone=ZoneName(_text(entry, "zone")),
-        slots=_count(entry, "slots"),
-        leaving=STATES[state],
+        service=ServiceName(read("service", text)),
+        address=read("address", _address),
+        zone=ZoneName(read("zone", text)),
+        slots=read("slots", whole_number(1)),
+        leaving=read("state", _is_leaving),
         # How much longer the server is slow, as of this report.
-        warmup=_seconds(entry.get("warmup-left", "0ms"), "warmup-left"),
+        warmup=read("warmup-left", seconds, "0ms"),
         # Start of the lifetime in Unix milliseconds, told by some servers only.
-        started=_started(entry),
-        revision=Revision(revision),
+        started=read("born", whole_number(0), 0),
+        revision=Revision(whole_number(0)(revision)),
     )
 
 
@@ -77,136 +91,199 @@
     Raises
     ------
     DecodeError
-        If a field is missing or has another type or an unknown value.
+        If it has no version that can be compared with others.
     """
-    body = _object(document)
-    services = body.get("services") or {}
+    findings = Findings()
+    body = Fields(read_object(document), "", findings)
+    version = _version(body.raw("version"))
+    routes = _routes(body.table("routes"))
+    teams = _teams(body.optional_table("tenants"))
     return FleetConfiguration(
-        version=_version(_field(body, "version", str)),
-        routes=tuple(
-            _route(name, route) for name, route in _field(body, "routes", dict).items()
-        ),
-        teams=tuple(
-            _team(name, team) for name, team in (body.get("tenants") or {}).items()
-        ),
-        limits=_limits(body.get("limits") or {}),
-        max_connections={
-            ServiceName(name): service["max-connections"]
-            for name, service in services.items()
-            if isinstance(service.get("max-connections"), int)
-        },
+        version=version,
+        routes=tuple(route for route in routes if route is not None),
+        teams=tuple(team for team in teams if team is not None),
+        limits=_limits(body.optional_table("limits")),
+        max_connections=_max_connections(body.optional_table("services")),
         document=document,
+        routes_complete=None not in routes,
+        keys_complete=None not in teams and all(team.keys_complete for team in teams),
+        findings=tuple(findings),
     )
 
 
-def _route(name: str, route: dict[str, Any]) -> Route:
-    try:
-        kind = _field(route, "kind", str)
-        if kind not in KINDS:
-            raise DecodeError(f"kind: {kind!r} is not known")
-        timeout = _seconds(route.get("timeout"), "timeout")
-        return Route(
-            name=name,
-            host=_field(route, "host", str).lower(),
-            prefix=_field(route, "path-prefix", str),
-            targets=_targets(route),
-            idempotent=KINDS[kind],
-            timeout=timeout,
-            latency_target=_seconds(
-                route.get("target-latency", f"{timeout}s"), "target-latency"
-            ),
-            # Counts backend servers, not sends.
-            attempts=max(1, int(route.get("max-attempts") or 1)),
-            priority=int(route.get("priority") or 0),
-            public=bool(route.get("public")),
-        )
-    except DecodeError as error:
-        raise DecodeError(f"routes.{name}.{error}") from error
-
-
-def _targets(route: dict[str, Any]) -> tuple[WeightedService, ...]:
-    parts = route.get("weighted-services")
-    if not parts:
-        return (WeightedService(ServiceName(_text(route, "service")), 1.0),)
-    return tuple(
-        WeightedService(ServiceName(_text(part, "service")), float(part["weight"]))
-        for part in parts
+def _routes(table: Fields) -> list[Route | None]:
+    """Routes; None for each one whose requests can't be told."""
+    if not table.is_table:
+        return [None]
+    fields = {name: table.table(name) for name in table.names()}
+    priority = whole_number(0)
+    ranks = [f.raw("priority") for f in fields.values()]
+    last = max((rank for rank in ranks if type(rank) is int), default=0)
+    return [_route(name, route, priority, last) for name, route in fields.items()]
+
+
+def _route(
+    name: str, fields: Fields, priority: Any, last_priority: int
+) -> Route | None:
+    host = fields.needed("host", text)
+    prefix = fields.needed("path-prefix", _prefix)
+    if host is None or prefix is None:
+        return None
+    targets = _targets(fields)
+    timeout = fields.value("timeout", seconds, DEFAULT_TIMEOUT)
+    return Route(
+        name=name,
+        host=host.lower(),
+        prefix=prefix,
+        targets=targets or (WeightedService(NO_SERVICE, 1.0),),
+        idempotent=_is_idempotent(fields),
+        timeout=timeout,
+        latency_target=fields.value("target-latency", seconds, timeout),
+        # Counts backend servers, not sends.
+        attempts=fields.value("max-attempts", whole_number(1), 1),
+        priority=fields.value("priority", priority, last_priority),
+        public=fields.value("public", _flag, False),
+        usable=targets is not None,
     )
 
 
-def _team(name: str, team: dict[str, Any]) -> Team:
-    priority = team.get("priority")
+def _is_idempotent(fields: Fields) -> bool:
+    kind = fields.raw("kind")
+    if isinstance(kind, str) and kind in KINDS:
+        return KINDS[kind]
+    fields.warning("kind", f"{kind!r} is not known; its requests are never repeated")
+    return False
+
+
+def _targets(fields: Fields) -> tuple[WeightedService, ...] | None:
+    """Services of a route; None where they can't be told."""
+    if not fields.has("weighted-services"):
+        service = fields.needed("service", text)
+        return (WeightedService(ServiceName(service), 1.0),) if service else None
+    parts = fields.raw("weighted-services")
+    if not isinstance(parts, list) or not parts:
+        fields.error("weighted-services", f"{parts!r} is not a list of services")
+        return None
+    targets = []
+    for part in parts:
+        try:
+            targets.append(_weighted(part))
+        except DecodeError as error:
+            fields.error("weighted-services", str(error))
+            return None
+    if not sum(target.weight for target in targets):
+        fields.error("weighted-services", "the weights are all 0")
+        return None
+    return tuple(targets)
+
+
+def _weighted(part: object) -> WeightedService:
+    if not isinstance(part, dict):
+        raise DecodeError(f"{part!r} is not a service with its weight")
+    service = ServiceName(text(part.get("service")))
+    return WeightedService(service, number(part.get("weight")))
+
+
+def _teams(table: Fields) -> list[Team | None]:
+    """Teams; None where the keys of one can't be told."""
+    if not table.is_table:
+        return [None]
+    return [_team(name, table.table(name)) for name in table.names()]
+
+
+def _team(name: str, fields: Fields) -> Team | None:
+    if not fields.is_table:
+        return None
+    keys, keys_complete = _keys(fields)
+    usable = True
+    rate = 0.0
+    if fields.has("rate-per-s"):
+        # Over all hosts together.
+        found = fields.needed("rate-per-s", number)
+        usable, rate = found is not None, found or 0.0
+    priority = fields.value("priority", whole_number(0), -1)
     return Team(
         name=TeamId(name),
-        keys=frozenset(team.get("api-keys") or ()),
-        priority=priority if isinstance(priority, int) else None,
-        # Over all hosts together.
-        rate=float(team.get("rate-per-s") or 0),
-        burst=float(team.get("burst") or 0),
+        keys=keys,
+        priority=priority if priority >= 0 else None,
+        rate=rate,
+        burst=fields.value("burst", number, 0.0),
+        usable=usable,
+        keys_complete=keys_complete,
     )
 
 
-def _limits(limits: dict[str, Any]) -> CallerLimits:
+def _keys(fields: Fields) -> tuple[frozenset[str], bool]:
+    """Keys of a team, and whether these are all."""
+    listed = fields.raw("api-keys")
+    if listed is None:
+        return frozenset(), True
+    if not isinstance(listed, list):
+        fields.error("api-keys", f"a list is needed, found {type(listed).__name__}")
+        return frozenset(), False
+    keys = [key for key in listed if isinstance(key, str) and key]
+    unread = len(listed) - len(keys)
+    if unread:
+        # Their values may be keys in another form, so they are not shown.
+        fields.error("api-keys", f"{unread} of {len(listed)} keys can't be read")
+    return frozenset(keys), not unread
+
+
+def _max_connections(services: Fields) -> dict[ServiceName, int]:
+    found = {}
+    for name in services.names():
+        most = services.table(name).value("max-connections", whole_number(1), 0)
+        if most:
+            found[ServiceName(name)] = most
+    return found
+
+
+def _limits(fields: Fields) -> CallerLimits:
     default = CallerLimits()
+    size = whole_number(1)
     return CallerLimits(
-        header_bytes=int(limits.get("max-header-bytes") or default.header_bytes),
-        body_bytes=int(limits.get("max-body-bytes") or default.body_bytes),
-        header_timeout=_seconds(
-            limits.get("header-timeout", f"{default.header_timeout}s"), "header-timeout"
-        ),
-        idle_timeout=_seconds(
-            limits.get("idle-timeout", f"{default.idle_timeout}s"), "idle-timeout"
-        ),
+        header_bytes=fields.value("max-header-bytes", size, default.header_bytes),
+        body_bytes=fields.value("max-body-bytes", size, default.body_bytes),
+        header_timeout=fields.value("header-timeout", seconds, default.header_timeout),
+        idle_timeout=fields.value("idle-timeout", seconds, default.idle_timeout),
     )
 
 
-def _started(entry: dict[str, Any]) -> int:
-    started = entry.get("born", 0)
-    if not isinstance(started, int) or isinstance(started, bool):
-        raise DecodeError(f"born: {started!r} is not a whole number")
-    return started
+def _address(value: object) -> str:
+    address = text(value)
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise DecodeError(f"{address!r} is not IP:PORT") from None
+    if not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise DecodeError(f"{address!r} has no port")
+    return address
 
 
-def _object(value: bytes) -> dict[str, Any]:
-    try:
-        body = orjson.loads(value)
-    except orjson.JSONDecodeError as error:
-        raise DecodeError(f"not JSON: {error}") from error
-    if not isinstance(body, dict):
-        raise DecodeError(f"an object is needed, found {type(body).__name__}")
-    return body
-
-
-def _field(body: dict[str, Any], key: str, kind: type) -> Any:
-    value = body.get(key)
-    if not isinstance(value, kind):
-        raise DecodeError(f"{key}: {value!r} is not of type {kind.__name__}")
-    return value
+def _is_leaving(value: object) -> bool:
+    if not isinstance(value, str) or value not in STATES:
+        raise DecodeError(f"{value!r} is not known")
+    return STATES[value]
 
 
-def _text(body: dict[str, Any], key: str) -> str:
-    value = _field(body, key, str)
-    if not value:
-        raise DecodeError(f"{key}: must not be empty")
-    return value
+def _prefix(value: object) -> str:
+    prefix = text(value)
+    if not prefix.startswith("/") or not prefix.endswith("/"):
+        raise DecodeError(f"{prefix!r} does not begin and end with a slash")
+    return prefix
 
 
-def _count(body: dict[str, Any], key: str) -> int:
-    value = _field(body, key, int)
-    if isinstance(value, bool) or value < 1:
-        raise DecodeError(f"{key}: {value!r} is not a positive number")
+def _flag(value: object) -> bool:
+    if not isinstance(value, bool):
+        raise DecodeError(f"{value!r} is not true or false")
     return value
 
 
-def _version(text: str) -> BundleVersion:
+def _version(value: object) -> BundleVersion:
     # "r" followed by the number that versions compare by.
-    if not text.startswith("r") or not text[1:].isdigit():
-        raise DecodeError(f"version: {text!r} is not r and a number")
-    return BundleVersion(int(text[1:]))
-
-
-def _seconds(value: object, key: str) -> float:
-    seconds = parse_seconds(value)
-    if seconds is None:
-        raise DecodeError(f"{key}: {value!r} is not a time in ms or s")
-    return seconds
+    if isinstance(value, str) and value.startswith("r"):
+        digits = value[1:]
+        if digits.isascii() and digits.isdigit():
+            return BundleVersion(int(digits))
+    raise DecodeError(f"version: {value!r} is not r and a number")
--- a/damaskramp/platform/store.py
+++ b/damaskramp/platform/store.py
@@ -82,8 +82,10 @@
             if not page.get("has-more") or not page["items"]:
                 break
             after = page["items"][-1]["key"]
-        configuration = await self._configuration()
-        return SourceSnapshot(configuration, tuple(servers), Revision(revision))
+        configuration, problem = await self._configuration()
+        return SourceSnapshot(
+            configuration, tuple(servers), Revision(revision), problem
+        )
 
     async def changes(self, after: Revision, seconds: float) -> SourceChanges:
         """Wait up to `seconds` for changes after a revision."""
@@ -93,13 +95,14 @@
             "wait-ms": str(int(seconds * 1000)),
         }
         body = await self._call("/v1/kv-watch", query, seconds + ANSWER_SECONDS)
-        configuration = None
+        configuration, problem = None, ""
         servers: dict[str, BackendServer] = {}
         removed: dict[str, Revision] = {}
         for event in body["events"]:
             key = event["key"]
             if key == CONFIGURATION_KEY and not event.get("deleted"):
-                configuration = self._read_configuration(event) or configuration
+                found, problem = self._read_configuration(event)
+                configuration = found or configuration
             elif key.startswith(SERVERS_PREFIX):
                 name = key[len(SERVERS_PREFIX) :]
                 server = None if event.get("deleted") else self._server(event)
@@ -114,6 +117,7 @@
             tuple(servers.values()),
             tuple((ServerId(name), revision) for name, revision in removed.items()),
             Revision(body["store-revision"]),
+            problem,
         )
 
     def decode(self, document: bytes) -> FleetConfiguration:
@@ -123,31 +127,34 @@
         except DecodeError as error:
             raise SourceError(str(error)) from error
 
-    async def _configuration(self) -> FleetConfiguration | None:
+    async def _configuration(self) -> tuple[FleetConfiguration | None, str]:
         query = {"key": CONFIGURATION_KEY}
         item = await self._call("/v1/kv-key", query, ANSWER_SECONDS, missing_ok=True)
-        return self._read_configuration(item) if item else None
+        return self._read_configuration(item) if item else (None, "")
 
-    def _read_configuration(self, item: dict[str, Any]) -> FleetConfiguration | None:
+    def _read_configuration(
+        self, item: dict[str, Any]
+    ) -> tuple[FleetConfiguration | None, str]:
+        """Configuration of an item; without one, why it can't be read."""
         try:
-            return decode_configuration(_value(item))
-        except (DecodeError, KeyError, TypeError, AttributeError) as error:
-            self._reject(item, error)
-            return None
+            return decode_configuration(_value(item)), ""
+        except DecodeError as error:
+            self._reject(CONFIGURATION_KEY, error)
+            return None, str(error)
 
     def _server(self, item: dict[str, Any]) -> BackendServer | None:
+        key = item["key"]
         try:
-            name = item["key"][len(SERVERS_PREFIX) :]
+            name = key[len(SERVERS_PREFIX) :]
             return decode_server(name, _value(item), item["revision"])
-        except (DecodeError, KeyError, TypeError, AttributeError) as error:
-            self._reject(item, error)
+        except DecodeError as error:
+            self._reject(key, error)
             return None
 
-    def _reject(self, item: dict[str, Any], error: Exception) -> None:
+    def _reject(self, key: str, error: DecodeError) -> None:
         self._counters.add("store_entries_unreadable")
         LOGGER.warning(
-            "store entry can't be read",
-            extra={"key": item.get("key"), "reason": repr(error)},
+            "store entry can't be read", extra={"key": key, "reason": str(error)}
         )
 
     async def _call(
@@ -184,6 +191,6 @@
 
 def _value(item: dict[str, Any]) -> bytes:
     try:
-        return base64.b64decode(item["value"], validate=True)
-    except binascii.Error as error:
+        return base64.b64decode(item.get("value"), validate=True)
+    except (binascii.Error, TypeError, ValueError) as error:
         raise DecodeError(f"value: not base64: {error}") from error
--- a/damaskramp/platform/tests/test_decode.py
+++ b/damaskramp/platform/tests/test_decode.py
@@ -1,5 +1,7 @@
 """Bodies of the store, good and broken."""
 
+import copy
+
 import orjson
 from hypothesis import given
 from hypothesis import strategies as st
@@ -60,6 +62,11 @@
 )
 
 
+def read(**changes):
+    """Configuration of the document above with other sections."""
+    return decode_configuration(orjson.dumps({**CONFIG, **changes}))
+
+
 class TestDecode(TestCase):
     def test_entry(self):
         server = decode_server("i-1", orjson.dumps(ENTRY), 9)
@@ -100,6 +107,113 @@
         )
         self.assertEqual({"x": 724}, config.max_connections)
 
+    def test_kinds_that_must_not_be_repeated(self):
+        for kind in ("non_idempotent", "upload", "resumable", None, 7, []):
+            with self.subTest(kind):
+                config = read(routes={"r-1": {**ROUTE, "kind": kind}})
+                self.assertFalse(config.routes[0].idempotent)
+                self.assertTrue(config.routes[0].usable)
+
+    def test_unknown_kind_is_found_and_the_rest_holds(self):
+        strange = {**ROUTE, "kind": "resumable", "path-prefix": "/b/"}
+        config = read(routes={"r-1": ROUTE, "r-2": strange})
+        self.assertEqual(2, len(config.routes))
+        self.assertEqual(["routes.r-2.kind"], [f.place.key for f in config.findings])
+
+    def test_route_whose_services_are_unknown_is_not_usable(self):
+        part = {"service": "x", "weight": 1}
+        for parts in (
+            7,
+            [],
+            [part, 7],
+            [{"service": "x", "weight": "1"}],
+            [{"service": 7, "weight": 1}],
+            [{"service": "x", "weight": -1}],
+            [{"service": "x", "weight": 0}],
+        ):
+            with self.subTest(parts):
+                broken = {**ROUTE, "path-prefix": "/b/", "weighted-services": parts}
+                config = read(routes={"r-1": ROUTE, "r-2": broken})
+                usable = {route.name: route.usable for route in config.routes}
+                self.assertEqual({"r-1": True, "r-2": False}, usable)
+                self.assertTrue(config.routes_complete)
+
+    def test_route_without_place_leaves_the_routes_incomplete(self):
+        for name, value in (("host", 7), ("path-prefix", "b"), ("path-prefix", None)):
+            with self.subTest(name):
+                config = read(routes={"r-1": ROUTE, "r-2": {**ROUTE, name: value}})
+                self.assertEqual(["r-1"], [route.name for route in config.routes])
+                self.assertFalse(config.routes_complete)
+
+    def test_what_bounds_a_route_falls_back_to_the_safest(self):
+        broken = {**ROUTE, "max-attempts": "2", "priority": None, "public": 1}
+        broken |= {"timeout": 5, "target-latency": []}
+        least = {**ROUTE, "priority": 4, "path-prefix": "/b/"}
+        route = read(routes={"r-1": broken, "r-2": least}).routes[0]
+        self.assertEqual((1, 4, False), (route.attempts, route.priority, route.public))
+        self.assertEqual((5.0, 5.0), (route.timeout, route.latency_target))
+
+    def test_team_whose_rate_is_unknown_is_not_usable(self):
+        team = CONFIG["tenants"]["clubs"]
+        for rate in ("5", -1, True, [5]):
+            with self.subTest(rate):
+                broken = {**team, "api-keys": ["b"], "rate-per-s": rate}
+                config = read(tenants={"clubs": team, "rooms": broken})
+                usable = [(t.name, t.usable) for t in config.teams]
+                self.assertEqual([("clubs", True), ("rooms", False)], usable)
+                self.assertTrue(config.keys_complete)
+
+    def test_keys_that_cannot_be_read_are_told_and_not_shown(self):
+        for team in (7, {"api-keys": "k"}, {"api-keys": ["k2", ["secret"]]}):
+            with self.subTest(team):
+                config = read(tenants={**CONFIG["tenants"], "rooms": team})
+                self.assertFalse(config.keys_complete)
+                self.assertIn("k", config.teams[0].keys)
+                told = " ".join(str(finding) for finding in config.findings)
+                self.assertNotIn("secret", told)
+
+    def test_broken_teams_do_not_open_the_doors(self):
+        for teams in (7, [], "none"):
+            self.assertTrue(read(tenants=teams).needs_keys)
+        self.assertFalse(read(tenants={}).needs_keys)
+
+    def test_broken_section_leaves_the_others(self):
+        for section in ("routes", "tenants", "limits", "services"):
+            with self.subTest(section):
+                config = read(**{section: 7})
+                self.assertEqual(12, config.version)
+                self.assertEqual(section != "routes", bool(config.routes))
+                self.assertEqual(section != "tenants", bool(config.teams))
+                self.assertEqual([section], [f.place.key for f in config.findings])
+
+    def test_document_without_version_is_an_error(self):
+        for version in (None, 12, "12", "r", "r-1", "r²", ["r1"]):
+            with self.subTest(version):
+                self.assertRaises(DecodeError, read, version=version)
+
+    @given(st.data(), json_values)
+    def test_one_broken_value_costs_no_other_route_and_no_withdrawal(self, data, value):
+        document = copy.deepcopy(CONFIG)
+        document["routes"]["r-2"] = {**ROUTE, "path-prefix": "/b/"}
+        document["tenants"]["rooms"] = {"api-keys": ["kept"], "rate-per-s": 9}
+        table = data.draw(st.sampled_from(["routes", "tenants"]))
+        name = {"routes": "r-2", "tenants": "rooms"}[table]
+        entry = document[table][name]
+        key = data.draw(st.sampled_from([None, *sorted(entry)]))
+        if key is None:
+            document[table][name] = value
+        else:
+            entry[key] = value
+        config = decode_configuration(orjson.dumps(document))
+        self.assertEqual(
+            ("r-1", True), (config.routes[0].name, config.routes[0].usable)
+        )
+        self.assertEqual(
+            ("clubs", True), (config.teams[0].name, config.teams[0].usable)
+        )
+        keys = set().union(*(team.keys for team in config.teams))
+        self.assertNotIn("withdrawn", keys)
+
     @given(json_values)
     def test_anything_else_is_an_error_that_can_be_told(self, value):
         try:
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -123,9 +123,13 @@
             return
         self._entry = beliefs.routes.find(request.host.partition(":")[0], request.path)
         if self._entry is None:
-            self._deny(Reason.NO_ROUTE)
+            complete = beliefs.configuration.routes_complete
+            self._deny(Reason.NO_ROUTE if complete else Reason.CONFIGURATION_UNREADABLE)
             return
         route = self._entry.route
+        if not route.usable:
+            self._deny(Reason.CONFIGURATION_UNREADABLE)
+            return
         found = identify(beliefs, request, route.public, forwarder.key_scheme)
         if found.is_error():
             self._deny(found.error)
@@ -151,6 +155,8 @@
         is_old = self._forwarder.beliefs.freshness.age >= REJECTS_BY_AGE
         if is_old or reason is Reason.BELIEF_TOO_OLD:
             self._refuse(Reason.BELIEF_TOO_OLD, MISSING_BELIEF_SECONDS)
+        elif reason is Reason.CONFIGURATION_UNREADABLE:
+            self._refuse(reason, MISSING_BELIEF_SECONDS)
         else:
             self._refuse(reason, 0.0)
 
@@ -186,7 +192,7 @@
     def _is_call(self) -> bool:
         # Where there are teams, callers' requests carry a key; what comes without one
         # is a call that the backend server of this host makes while it runs a request.
-        if not self._forwarder.beliefs.configuration.teams:
+        if not self._forwarder.beliefs.configuration.needs_keys:
             return False
         return not self._request.keyed
 
--- a/damaskramp/relay/identity.py
+++ b/damaskramp/relay/identity.py
@@ -26,15 +26,22 @@
     Result
         The holder; None where no key is needed.
     """
-    teams = beliefs.configuration.teams
-    if not teams or not request.keyed:
-        return Error(Reason.KEY_MISSING) if teams and not public else Ok(None)
+    configuration = beliefs.configuration
+    needs_key = configuration.needs_keys
+    if not needs_key or not request.keyed:
+        return Error(Reason.KEY_MISSING) if needs_key and not public else Ok(None)
     holder = None
     key = request.key
     if key[: len(scheme)].lower() == scheme.lower():
         holder = beliefs.key(key[len(scheme) :].strip())
     if holder is None:
-        return Ok(None) if public else Error(Reason.KEY_UNKNOWN)
+        if public:
+            return Ok(None)
+        if not configuration.keys_complete:
+            return Error(Reason.CONFIGURATION_UNREADABLE)
+        return Error(Reason.KEY_UNKNOWN)
     if not beliefs.keys_usable:
         return Error(Reason.BELIEF_TOO_OLD)
+    if not holder.team.usable:
+        return Error(Reason.CONFIGURATION_UNREADABLE)
     return Ok(holder)
--- a/damaskramp/relay/messages.py
+++ b/damaskramp/relay/messages.py
@@ -3,12 +3,31 @@
 msgpack delimits its values itself, so a stream of them needs no frames of its own.
 """
 
+import zlib
 from enum import IntEnum
 from typing import NamedTuple
 
 from damaskramp.core import Reason
+from damaskramp.core.ids import ServiceName, ZoneName
+from damaskramp.fleet.model import BackendServer, Revision, ServerId
 
-__all__ = ["REASONS", "REASON_CODES", "Call", "Kind"]
+__all__ = [
+    "REASONS",
+    "REASON_CODES",
+    "Call",
+    "Kind",
+    "pack_document",
+    "pack_server",
+    "unpack_document",
+    "unpack_removals",
+    "unpack_server",
+]
+
+PACK_LEVEL = 1
+"""Level of compression of documents: the fastest; they shrink to a fifth."""
+
+DOCUMENT_BYTES = 16 * 1024 * 1024
+"""Largest document taken from a peer, unpacked; the platform's values have 1 MB."""
 
 
 class Kind(IntEnum):
@@ -77,3 +96,88 @@
     key_digest: bytes
     fingerprint: int
     repeat_share: float
+
+
+SERVER_TYPES = (str, str, str, str, int, bool, float, int, int)
+"""Types of the elements that describe a backend server."""
+
+
+def pack_server(server: BackendServer) -> tuple:
+    """Elements that describe a backend server."""
+    return (
+        server.id,
+        server.service,
+        server.address,
+        server.zone,
+        server.slots,
+        server.leaving,
+        server.warmup,
+        server.started,
+        server.revision,
+    )
+
+
+def unpack_server(elements: list) -> BackendServer:
+    """Backend server that a peer describes.
+
+    Raises
+    ------
+    ValueError
+        If the elements are not those of a server.
+    """
+    if not isinstance(elements, list) or len(elements) != len(SERVER_TYPES):
+        raise ValueError(f"{elements!r} does not describe a backend server")
+    for element, kind in zip(elements, SERVER_TYPES, strict=True):
+        if type(element) is not kind:
+            raise ValueError(f"{element!r} is not of type {kind.__name__}")
+    name, service, address, zone, slots, leaving, warmup, started, revision = elements
+    return BackendServer(
+        ServerId(name),
+        ServiceName(service),
+        address,
+        ZoneName(zone),
+        slots,
+        leaving,
+        warmup,
+        started,
+        Revision(revision),
+    )
+
+
+def unpack_removals(elements: list) -> list[tuple[ServerId, Revision]]:
+    """Deleted descriptions with their revisions.
+
+    Raises
+    ------
+    ValueError
+        If an element is not a name with a revision.
+    """
+    removals = []
+    for name, revision in elements:
+        if not isinstance(name, str) or not isinstance(revision, int):
+            raise ValueError(f"{name!r}, {revision!r} is not a name with a revision")
+        removals.append((ServerId(name), Revision(revision)))
+    return removals
+
+
+def pack_document(document: bytes) -> bytes:
+    """Document of a configuration as it is handed on."""
+    return zlib.compress(document, PACK_LEVEL)
+
+
+def unpack_document(packed: bytes) -> bytes:
+    """Document that a peer handed on.
+
+    Raises
+    ------
+    ValueError
+        If it can't be unpacked or is too large.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        document = unpacker.decompress(packed, DOCUMENT_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+    if not unpacker.eof:
+        raise ValueError("document is cut short or too large")
+    return document
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -104,6 +104,10 @@
 """Seconds of the grace time that are kept back."""
 
 
+LOGGED_FINDINGS = 20
+"""Findings of one configuration that are logged; the status page has more."""
+
+
 class RelayNode:
     """One node.
 
@@ -324,6 +328,9 @@
         gauges = {
             "configuration_version": float(beliefs.version),
             "belief_age_seconds": beliefs.freshness.age,
+            "configuration_findings": float(
+                len(beliefs.configuration.findings) if beliefs.configuration else 0
+            ),
             "backend_servers": float(len(beliefs.directory.servers)),
             "running": float(load.running),
             "waiting": float(load.waiting),
@@ -337,6 +344,20 @@
     def _configured(self, configuration: FleetConfiguration) -> None:
         self._listener.limits = configuration.limits
         self._forwarder.route_times.keep({route.name for route in configuration.routes})
+        findings = configuration.findings
+        if findings:
+            self._counters.add("configuration_findings", len(findings))
+        for finding in findings[:LOGGED_FINDINGS]:
+            LOGGER.warning(
+                "configuration is not used as published",
+                extra={
+                    "version": configuration.version,
+                    "place": finding.place.key,
+                    "severity": finding.severity.value,
+                    "reason": finding.message,
+                    "findings": len(findings),
+                },
+            )
 
     def _gossip(self) -> None:
         directory = self._beliefs.directory
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -71,7 +71,8 @@
             self._unpacker.feed(data)
             for message in self._unpacker:
                 self.received(message)
-        except (ValueError, IndexError, TypeError, KeyError) as error:
+        except Exception as error:
+            # Whatever a peer sends costs this link and nothing else.
             LOGGER.warning("unreadable message", extra={"reason": repr(error)})
             if self._transport is not None:
                 self._transport.abort()
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -8,7 +8,6 @@
 
 import logging
 import random
-import zlib
 from collections.abc import Callable
 
 from damaskramp.core import Counters, Reason
@@ -22,7 +21,15 @@
 )
 from damaskramp.relay.beliefs import Beliefs
 from damaskramp.relay.execution import CallReply
-from damaskramp.relay.messages import Call, Kind
+from damaskramp.relay.messages import (
+    Call,
+    Kind,
+    pack_document,
+    pack_server,
+    unpack_document,
+    unpack_removals,
+    unpack_server,
+)
 from damaskramp.relay.peer_link import Lent, LinkState, PeerLink
 
 __all__ = ["Peers"]
@@ -36,9 +43,6 @@
 TOLD_PEERS = 6
 """Peers of the own zone told of a change at once by each of its readers."""
 
-PACK_LEVEL = 1
-"""Level of compression of documents: the fastest; they shrink to a fifth."""
-
 RETRY_SECONDS = 0.25
 """Pause before a link that broke is opened again."""
 
@@ -173,7 +177,7 @@
             Kind.NEWS,
             self._beliefs.version,
             document,
-            [_wire(server) for server in changes.servers],
+            [pack_server(server) for server in changes.servers],
             list(changes.removed),
         )
         for host in self._told_hosts():
@@ -195,7 +199,7 @@
         """Document of a configuration as it is handed on; packed once."""
         if self._packed_version != configuration.version:
             self._packed_version = configuration.version
-            self._packed_document = zlib.compress(configuration.document, PACK_LEVEL)
+            self._packed_document = pack_document(configuration.document)
         return self._packed_document
 
     def news(self, message: list) -> None:
@@ -204,8 +208,7 @@
         if version > self._beliefs.version:
             self._take_document(document)
         self._beliefs.directory.merge(
-            (BackendServer(*server) for server in servers),
-            ((name, change) for name, change in removed),
+            [unpack_server(server) for server in servers], unpack_removals(removed)
         )
 
     def close(self) -> None:
@@ -227,7 +230,9 @@
         servers: list[tuple] = []
         removed: list[tuple] = []
         if directory.revision > revision or version == 0:
-            servers = [_wire(s) for s in directory.servers if s.revision > revision]
+            servers = [
+                pack_server(s) for s in directory.servers if s.revision > revision
+            ]
             removed = [(n, r) for n, r in directory.removed if r > revision]
         age = beliefs.freshness.age
         deaths = beliefs.suspects.recent(self._clock())
@@ -279,8 +284,8 @@
             beliefs.freshness.confirm_by_peer(asked_at, age)
         if servers or removed or revision:
             beliefs.directory.merge(
-                (BackendServer(*server) for server in servers),
-                ((name, change) for name, change in removed),
+                [unpack_server(server) for server in servers],
+                unpack_removals(removed),
                 revision or None,
             )
         beliefs.suspects.note((Death(*death) for death in deaths), self._clock())
@@ -289,9 +294,9 @@
         if not document:
             return
         try:
-            if self._beliefs.take(self._source.decode(zlib.decompress(document))):
+            if self._beliefs.take(self._source.decode(unpack_document(document))):
                 self._counters.add("configurations", reason="peer")
-        except (SourceError, zlib.error) as error:
+        except (SourceError, ValueError) as error:
             self._counters.add("peer_documents_unreadable")
             LOGGER.warning(
                 "document of a peer unreadable", extra={"reason": str(error)}
@@ -348,19 +353,5 @@
             self._unreachable.discard(host)
 
 
-def _wire(server: BackendServer) -> tuple:
-    return (
-        server.id,
-        server.service,
-        server.address,
-        server.zone,
-        server.slots,
-        server.leaving,
-        server.warmup,
-        server.started,
-        server.revision,
-    )
-
-
 def _nothing() -> None:
     """Cancel of a call that was not sent."""
--- a/damaskramp/relay/status_page.py
+++ b/damaskramp/relay/status_page.py
@@ -13,6 +13,9 @@
 NO_OBJECTIVES = b"a relay node keeps no windows of objectives: read its /metrics\n"
 """Answer to who asks for service-level objectives."""
 
+SHOWN_FINDINGS = 100
+"""Findings of the configuration on the page."""
+
 
 def status_page(
     beliefs: Beliefs, executor: Executor, peers: Peers, state: str
@@ -20,9 +23,10 @@
     """JSON document for ``damaskramp-status``."""
     load = executor.load
     configuration = beliefs.configuration
-    bundle = None
+    bundle, findings = None, ()
     if configuration is not None:
         digest = hashlib.sha256(configuration.document).hexdigest()
+        findings = configuration.findings[:SHOWN_FINDINGS]
         bundle = {"version": configuration.version, "digest": digest}
     members = [
         {"host": host, "zone": zone, "state": peers.state_of(host)}
@@ -34,6 +38,7 @@
             "zone": beliefs.zone,
             "state": state,
             "bundle": bundle,
+            "findings": [str(finding) for finding in findings],
             "belief_age_seconds": round(beliefs.freshness.age, 3)
             if configuration is not None
             else None,
--- a/damaskramp/relay/watcher.py
+++ b/damaskramp/relay/watcher.py
@@ -110,6 +110,7 @@
         self._watch: asyncio.Task[None] | None = None
         self._reachable: bool | None = None
         self._lost_at: float | None = None
+        self._unreadable = False
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -168,8 +169,8 @@
             busy = isinstance(error, SourceBusyError)
             self._counters.add("source_errors", reason="busy" if busy else "failed")
             return False
-        except (KeyError, TypeError, ValueError) as error:
-            # An answer of another form than agreed must not end the reading.
+        except Exception as error:
+            # Whatever an answer holds, it must not end the reading.
             self._counters.add("source_errors", reason="unreadable")
             LOGGER.error("platform's answer unreadable", extra={"cause": repr(error)})
             self._revision = None
@@ -199,7 +200,7 @@
             except HistoryLostError:
                 self._counters.add("source_history_lost")
                 self._revision = None
-            except (SourceError, KeyError, TypeError, ValueError) as error:
+            except Exception as error:
                 # The next poll tells whether the platform is lost.
                 self._counters.add("source_errors", reason="watch_broken")
                 LOGGER.info("watch broken", extra={"cause": repr(error)})
@@ -220,8 +221,8 @@
         snapshot = await self._source.snapshot()
         self._note_return()
         beliefs.directory.replace(snapshot.servers, snapshot.revision)
+        self._take(snapshot.configuration, snapshot.problem)
         if snapshot.configuration is not None:
-            self._take(snapshot.configuration)
             beliefs.freshness.confirm(asked_at)
         LOGGER.info(
             "snapshot read",
@@ -240,9 +241,9 @@
         changes = await self._source.changes(self._revision, seconds)
         self._note_return()
         beliefs.directory.merge(changes.servers, changes.removed, changes.revision)
-        if changes.configuration is not None:
-            self._take(changes.configuration)
-        if beliefs.configuration is not None:
+        self._take(changes.configuration, changes.problem)
+        # One that can't be read may have withdrawn a key.
+        if beliefs.configuration is not None and not self._unreadable:
             beliefs.freshness.confirm(asked_at)
         if self._revision is None or changes.revision <= self._revision:
             return
@@ -262,8 +263,14 @@
         if lost_at is not None and self._timers.now - lost_at > OUTAGE_SECONDS:
             self._beliefs.directory.hold_removals(self._timers.now + LAPSE_SECONDS)
 
-    def _take(self, configuration: FleetConfiguration) -> None:
-        if self._beliefs.take(configuration):
+    def _take(self, configuration: FleetConfiguration | None, problem: str) -> None:
+        if problem:
+            self._unreadable = True
+            self._counters.add("configurations", reason="unreadable")
+            LOGGER.error("configuration can't be read", extra={"reason": problem})
+        elif configuration is not None:
+            self._unreadable = False
+        if configuration is not None and self._beliefs.take(configuration):
             self._counters.add("configurations", reason="platform")
             LOGGER.info(
                 "configuration in force",
