A request that may run twice is sent on where its server stays silent

Change: a request of an idempotent route that has waited four times the route's mean, with time left for one more run, is sent to a second server within the retry budget and the route's attempts. The first answer counts, the other attempt is cancelled, the silent server's share of failures grows. Attempts are objects of their own (server_attempt).

--- a/damaskramp/dispatch/route_times.py
+++ b/damaskramp/dispatch/route_times.py
@@ -2,7 +2,9 @@
 
 Load this answers: requests whose latency target is only a few times what they take.
 On the slower of two servers a part of them is late, so for them the choice of the
-server goes before the choice of the availability zone.
+server goes before the choice of the availability zone. And servers that fall silent: a
+request that may run twice and has waited far longer than others take is sent to a
+second server while there is time for one more run.
 """
 
 __all__ = ["RouteTimes"]
@@ -14,6 +16,9 @@
 """How many times the mean an answer may take: one in a hundred does, where run times
 vary as widely as their mean and servers of one service differ by half."""
 
+SHORTEST_PATIENCE = 0.05
+"""Seconds below which a pause of a process or a lost packet looks like silence."""
+
 
 class RouteTimes:
     """Mean times of answers by route.
@@ -38,6 +43,27 @@
         """Whether a request that has `spare` seconds may well be late."""
         return self._means.get(route, 0.0) * TAIL > spare
 
+    def patience(self, route: str, remaining: float) -> float | None:
+        """Seconds after which a silent server is doubted; None for never.
+
+        Parameters
+        ----------
+        remaining : float
+            Seconds until nobody waits for the answer.
+
+        Examples
+        --------
+        >>> times = RouteTimes()
+        >>> times.answered("draws", 0.05)
+        >>> times.patience("draws", 1.0), times.patience("draws", 0.2)
+        (0.2, None)
+        """
+        mean = self._means.get(route)
+        if mean is None:
+            return None
+        patience = max(SHORTEST_PATIENCE, TAIL * mean)
+        return patience if patience + mean < remaining else None
+
     def keep(self, routes: set[str]) -> None:
         """Drop what is known of other routes."""
         self._means = {name: self._means[name] for name in routes & set(self._means)}
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -18,13 +18,14 @@
 from damaskramp.relay.beliefs import Beliefs, KeyHolder
 from damaskramp.relay.caller_request import CallerRequest, RequestHandler
 from damaskramp.relay.decision_log import DecisionLog
-from damaskramp.relay.execution import CallReply, Executor
+from damaskramp.relay.execution import Executor
 from damaskramp.relay.headers import HeaderNames
 from damaskramp.relay.identity import identify
 from damaskramp.relay.messages import Call
 from damaskramp.relay.outgoing import OutgoingHeaders, OutgoingRequest
 from damaskramp.relay.peers import Peers
 from damaskramp.relay.permits import Permits
+from damaskramp.relay.server_attempt import AttemptOwner, ServerAttempt
 
 __all__ = ["Forwarder"]
 
@@ -80,12 +81,11 @@
         _Forward(self, request).start()
 
 
-class _Forward(CallReply):
+class _Forward(AttemptOwner):
     """The way of one request."""
 
     __slots__ = (
         "_attempts",
-        "_cancel",
         "_deadline",
         "_entry",
         "_forwarder",
@@ -94,9 +94,9 @@
         "_outgoing",
         "_ready",
         "_request",
-        "_server",
         "_service",
         "_target",
+        "_tries",
     )
 
     def __init__(self, forwarder: Forwarder, request: CallerRequest) -> None:
@@ -105,10 +105,9 @@
         self._entry: RouteEntry | None = None
         self._holder: KeyHolder | None = None
         self._service = ""
-        self._server: BackendServer | None = None
+        self._tries: list[ServerAttempt] = []
         self._attempts = Attempts(forwarder.budget, forwarder.counters)
         self._ready: tuple[int, bytes, bytes] | None = None
-        self._cancel: Callable[[], None] | None = None
         self._loop_timer: asyncio.TimerHandle | None = None
         self._outgoing: OutgoingRequest | None = None
         self._deadline = 0.0
@@ -203,32 +202,75 @@
             return holder.team.priority
         return self._entry.route.priority
 
-    def _send(self) -> None:
+    def _choose(self) -> BackendServer | None:
+        """Server to send the request to; None where none may be asked now."""
         forwarder = self._forwarder
         now = forwarder.clock()
         listed = forwarder.beliefs.directory.of_service(self._service)
-        servers = forwarder.peers.usable(listed)
-        rank = self._rank
         tight = forwarder.route_times.is_tight(
             self._entry.route.name, self._target - now
         )
-        server = forwarder.selector.choose(
-            servers, self._attempts.tried, rank, now, tight
+        return forwarder.selector.choose(
+            forwarder.peers.usable(listed),
+            self._attempts.tried,
+            self._rank,
+            now,
+            tight,
         )
-        if server is None:
-            reason = Reason.OVERLOADED if servers else Reason.NO_BACKEND_SERVER
-            self._refuse(reason, max(self._attempts.wait, LEAST_WAIT_SECONDS))
+
+    def _send(self) -> None:
+        server = self._choose()
+        if server is not None:
+            self._send_to(server)
             return
-        self._server = server
+        beliefs, peers = self._forwarder.beliefs, self._forwarder.peers
+        servers = peers.usable(beliefs.directory.of_service(self._service))
+        reason = Reason.OVERLOADED if servers else Reason.NO_BACKEND_SERVER
+        self._refuse(reason, max(self._attempts.wait, LEAST_WAIT_SECONDS))
+
+    def _send_to(self, server: BackendServer) -> None:
+        forwarder = self._forwarder
+        now = forwarder.clock()
         call = self._call(server, now)
         forwarder.selector.sent(server)
+        attempt = ServerAttempt(self, server)
+        self._tries.append(attempt)
         if server.host == forwarder.beliefs.host:
-            cancel = forwarder.executor.submit(call, self)
+            cancel = forwarder.executor.submit(call, attempt)
         else:
-            cancel = forwarder.peers.call(server.host, call, self)
+            cancel = forwarder.peers.call(server.host, call, attempt)
         # The outcome may have come already, and with it another attempt.
-        if self._server is server and self._cancel is None:
-            self._cancel = cancel
+        if attempt.is_open:
+            attempt.cancel = cancel
+            self._await(attempt, now)
+
+    def _await(self, attempt: ServerAttempt, now: float) -> None:
+        """Have a silent server doubted after a while."""
+        if not self._entry.route.idempotent:
+            return
+        times = self._forwarder.route_times
+        patience = times.patience(self._entry.route.name, self._deadline - now)
+        if patience is not None:
+            loop = asyncio.get_running_loop()
+            attempt.doubt = loop.call_later(patience, self._doubt, attempt)
+
+    def _doubt(self, attempt: ServerAttempt) -> None:
+        """Send the request to a second server; the first answer counts."""
+        attempt.doubt = None
+        if not attempt.is_open or len(self._tries) > 1:
+            return
+        self._attempts.tried.add(attempt.server.id)
+        server = self._choose()
+        if server is None:
+            return
+        attempt.doubted = True
+        self._attempts.ran()
+        if not self._attempts.may_repeat(self._forwarder.clock()):
+            return
+        self._forwarder.counters.add("silent_servers")
+        if self._forwarder.log.wants_line():
+            self._log("request sent again", reason="silent", silent=attempt.server.id)
+        self._send_to(server)
 
     def _call(self, server: BackendServer, now: float) -> Call:
         request = self._request
@@ -251,13 +293,17 @@
             self._attempts.repeat_share,
         )
 
-    def answered(self, status: int, head: bytes, body: bytes, load: Load) -> None:
+    def answered(
+        self, attempt: ServerAttempt, status: int, head: bytes, body: bytes, load: Load
+    ) -> None:
         """Bring the answer back, or try again where that may help."""
-        server = self._server
-        if not self._over(load, failed=status >= 500):
+        self._over(attempt, load, failed=status >= 500)
+        repeatable = status in (500, 502, 503) and self._fails_alone(attempt.server)
+        if not attempt.doubted:
+            self._attempts.ran()
+        if status >= 500 and self._tries:
+            self._ready = (status, head, body)
             return
-        repeatable = status in (500, 502, 503) and self._fails_alone(server)
-        self._attempts.ran()
         if repeatable and self._attempts.may_repeat(self._forwarder.clock()):
             self._ready = (status, head, body)
             self._send()
@@ -265,6 +311,7 @@
         self._respond(status, head, body)
 
     def _respond(self, status: int, head: bytes, body: bytes) -> None:
+        self._withdraw()
         self._end()
         forwarder = self._forwarder
         took = forwarder.clock() - self._request.started
@@ -278,12 +325,16 @@
         self._request.respond(status, head, body)
 
     def refused(
-        self, reason: Reason, wait: float, arrived: bool, load: Load | None
+        self,
+        attempt: ServerAttempt,
+        reason: Reason,
+        wait: float,
+        arrived: bool,
+        load: Load | None,
     ) -> None:
         """Try another server; this one has not run the request."""
-        server = self._server
-        if not self._over(load, failed=None):
-            return
+        server = attempt.server
+        self._over(attempt, load, failed=None)
         forwarder, attempts = self._forwarder, self._attempts
         now = forwarder.clock()
         if reason is Reason.CONNECT_FAILED:
@@ -294,6 +345,8 @@
             # One of the two nodes is behind; which of them is not known here.
             reason, wait = Reason.BELIEF_TOO_OLD, MISSING_BELIEF_SECONDS
         attempts.refused(wait, arrived)
+        if self._tries:
+            return
         if reason is Reason.QUARANTINED:
             self._refuse(reason, 0.0)
         elif attempts.may_try_elsewhere(arrived, now):
@@ -301,40 +354,40 @@
         else:
             self._refuse(reason, attempts.wait)
 
-    def failed(self, reason: Reason, load: Load | None) -> None:
+    def failed(self, attempt: ServerAttempt, reason: Reason, load: Load | None) -> None:
         """Try again where the request may run twice; else tell that it is unknown."""
-        server = self._server
-        if not self._over(load, failed=True):
-            return
+        self._over(attempt, load, failed=True)
         forwarder = self._forwarder
         if reason is Reason.BACKEND_SERVER_LOST:
-            forwarder.selector.shun(server, SHUN_SECONDS, forwarder.clock())
-        self._attempts.ran()
+            forwarder.selector.shun(attempt.server, SHUN_SECONDS, forwarder.clock())
+        if not attempt.doubted:
+            self._attempts.ran()
+        if self._tries:
+            return
         if self._attempts.may_repeat(forwarder.clock()):
             self._send()
             return
         self._refuse(reason, 0.0)
 
-    def _over(self, load: Load | None, failed: bool | None) -> bool:
-        """Note the end of an attempt; False where nobody waits for it."""
-        server, self._server = self._server, None
-        self._cancel = None
-        if server is None:
-            return False
-        forwarder = self._forwarder
+    def _over(
+        self, attempt: ServerAttempt, load: Load | None, failed: bool | None
+    ) -> None:
+        """Note the end of an attempt."""
+        attempt.close()
+        self._tries.remove(attempt)
+        server, forwarder = attempt.server, self._forwarder
         forwarder.selector.ended(server, failed)
         if load is not None:
             forwarder.selector.reported(server, load, forwarder.clock())
         self._attempts.tried.add(server.id)
-        return True
 
     def _fails_alone(self, server: BackendServer) -> bool:
         servers = self._forwarder.beliefs.directory.of_service(self._service)
         return self._forwarder.selector.stands_out(server, servers)
 
     def _timed_out(self) -> None:
-        if self._server is not None:
-            self._attempts.left_open(self._server.id)
+        for attempt in self._tries:
+            self._attempts.left_open(attempt.server.id)
         self._withdraw()
         self._refuse(Reason.DEADLINE_EXCEEDED, 0.0)
 
@@ -344,12 +397,14 @@
         self._end()
 
     def _withdraw(self) -> None:
-        server, self._server = self._server, None
-        cancel, self._cancel = self._cancel, None
-        if cancel is not None:
-            cancel()
-        if server is not None:
-            self._forwarder.selector.ended(server, None)
+        """Cancel what is open; a server that another has overtaken counts as failed."""
+        tries, self._tries = self._tries, []
+        for attempt in tries:
+            attempt.close()
+            if attempt.cancel is not None:
+                attempt.cancel()
+            failed = True if attempt.doubted else None
+            self._forwarder.selector.ended(attempt.server, failed)
 
     def _refuse(self, reason: Reason, wait: float) -> None:
         """Tell the caller why there is no good answer, and whether it has run."""
