Large fleets: links come back at once, small retry budgets add up, few slots are all used

Of two slots one was kept free.

Change: a link that was up for a while and is reset is opened again before its host counts as unreachable; calls on a link that is not up yet stay with the caller's node, so that a call withdrawn there is known not to have run; what waits is refused before its caller gives up; a host's part of the retry budget is rounded by a draw; all slots are used where keeping one free costs more than servers slow down.

--- a/damaskramp/dispatch/retry_budget.py
+++ b/damaskramp/dispatch/retry_budget.py
@@ -2,7 +2,9 @@
 
 The bound holds for each service over all hosts in a sliding window. Each host keeps
 within its own requests' part of it and an equal part of the fixed allowance, so that
-no message is needed and a cut changes nothing.
+no message is needed and a cut changes nothing. In a large fleet a host's part is a few
+repeats or a fraction of one. It is rounded up or down by a draw that each host makes
+once, so that the parts of all hosts still add up to the whole.
 
 Load this answers: a call graph whose upper services are repeated. A run that is itself
 a repeat makes all its calls once more, and these count as repeats at the services
@@ -93,10 +95,17 @@
 
 
 class RetryBudget:
-    """Requests and repeats of one host, by service."""
+    """Requests and repeats of one host, by service.
 
-    def __init__(self, settings: RetryBudgetSettings) -> None:
+    Parameters
+    ----------
+    draw : float
+        This host's draw for rounding, 0 to 1; 0 rounds down.
+    """
+
+    def __init__(self, settings: RetryBudgetSettings, draw: float = 0.0) -> None:
         self._settings = settings
+        self._draw = draw
         self._hosts = 1
         self._requests: dict[ServiceName, _Counts] = {}
         self._repeats: dict[ServiceName, _Counts] = {}
@@ -138,7 +147,7 @@
         allowed = settings.used_ratio * settings.ratio * max(recent, before)
         allowed += settings.used_allowance * settings.allowance / self._hosts
         repeats = self._counts(self._repeats, service)
-        if repeats.sum(part - PARTS, part) + 1 > allowed:
+        if repeats.sum(part - PARTS, part) + 1 > allowed + self._draw:
             return False
         repeats.add(part)
         return True
--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -38,6 +38,8 @@
     full_share : float
         Part of the slots in use from which some servers slow down; the queue stays
         below it. The platform's servers do so at about 0.95.
+    full_slowdown : float
+        How many times longer a run may take at a server whose slots are all in use.
     call_weight, entry_weight : float
         Parts of the slots' time for calls of running requests and for new requests
         where both wait. A request of one level above has several calls below, so
@@ -60,6 +62,7 @@
     """
 
     full_share: float = 0.95
+    full_slowdown: float = 1.4
     call_weight: float = 4.0
     entry_weight: float = 1.0
     queue_slots: float = 40.0
@@ -197,7 +200,9 @@
     def resize(self, slots: int) -> None:
         """Set the server's slots."""
         below_full = int(slots * self._settings.full_share - 1e-9)
-        limit = max(1, below_full)
+        # Of few slots, one that is kept free is dearer than the slow-down.
+        few = slots / self._settings.full_slowdown > below_full
+        limit = max(1, slots if few else below_full)
         if limit != self._limit:
             self._limit = limit
             self._bounds.clear()
--- a/damaskramp/dispatch/tests/test_decisions.py
+++ b/damaskramp/dispatch/tests/test_decisions.py
@@ -95,6 +95,26 @@
 
 
 class TestRetryBudget(TestCase):
+    def test_small_parts_of_many_hosts_add_up(self):
+        """A host that has a fraction of a repeat must not lose it by rounding."""
+        hosts, requests = 200, 4
+        settings = RetryBudgetSettings(0.2, 10.0, 100.0)
+        part = requests * settings.ratio * settings.used_ratio
+        part += settings.allowance * settings.used_allowance / hosts
+        for seed in range(20):
+            source = random.Random(seed)
+            spent = 0
+            for _ in range(hosts):
+                budget = RetryBudget(settings, source.random())
+                budget.resize(hosts)
+                for n in range(requests):
+                    budget.request("draws", 0.1 * n)
+                spent += sum(budget.spend("draws", 1.0) for _ in range(9))
+            self.assertLess(0.8 * hosts * part, spent)
+            self.assertLess(spent, 1.2 * hosts * part)
+            bound = settings.ratio * hosts * requests + settings.allowance
+            self.assertLess(spent, bound)
+
     @given(
         st.lists(
             st.tuples(st.floats(0, 0.4), st.booleans(), st.integers(0, 2)),
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -22,7 +22,10 @@
 from damaskramp.relay.headers import HeaderNames, ReservedNames
 from damaskramp.relay.messages import Call
 
-__all__ = ["CallReply", "Executor"]
+__all__ = ["CallReply", "Cancel", "Executor"]
+
+Cancel = Callable[[], bool]
+"""Cancels a call; returns whether it has run nowhere and never will."""
 
 LEAST_RUN_SECONDS = 0.005
 """Remaining time below which no server could answer."""
@@ -31,6 +34,10 @@
 """Time past its deadline after which a run is abandoned here, in case that neither the
 server's own deadline nor a cancellation has ended it."""
 
+REFUSE_AHEAD_SECONDS = 0.06
+"""Time before a waiting call is late at which it is refused: a pause between two looks
+and the way back, so that its caller learns that it has not run before it gives up."""
+
 DEATH_SECONDS = 0.5
 """Runs that break off within this time before the server is found gone are suspects."""
 
@@ -109,7 +116,7 @@
         """Share of the runs at the server that repeat others, 0 to 1."""
         return self._repeats.value
 
-    def submit(self, call: Call, reply: CallReply) -> Callable[[], None]:
+    def submit(self, call: Call, reply: CallReply) -> Cancel:
         """Take a call; return how to cancel it."""
         now = self._clock()
         run = _Run(self, call, reply, now)
@@ -138,7 +145,7 @@
     def sweep(self) -> None:
         """Refuse what waits in vain, abandon what is overdue."""
         now = self._clock()
-        for work in self._queue.expire(now):
+        for work in self._queue.expire(now + REFUSE_AHEAD_SECONDS):
             wait = self._queue.comeback_wait(work.is_call, work.priority)
             work.run.refuse(Reason.OVERLOADED, wait, False)
         for run in list(self._runs):
@@ -266,17 +273,19 @@
             self, call.request_id, call.head_only, head + call.body
         )
 
-    def cancel(self) -> None:
-        """End the call; nobody waits for it any more."""
+    def cancel(self) -> bool:
+        """End the call, for which nobody waits; return whether it has not run."""
         if self._reply is None:
-            return
+            return False
         self._reply = None
+        unsent = self._abandon is None
         if self._abandon is not None:
             self._abandon()
         executor = self._executor
         executor._forget(self)
         executor._queue.cancel(self.work, executor._clock())
         executor._start_next()
+        return unsent
 
     def overdue(self) -> None:
         """End the call because its deadline has passed."""
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -386,8 +386,6 @@
         return self._forwarder.selector.stands_out(server, servers)
 
     def _timed_out(self) -> None:
-        for attempt in self._tries:
-            self._attempts.left_open(attempt.server.id)
         self._withdraw()
         self._refuse(Reason.DEADLINE_EXCEEDED, 0.0)
 
@@ -400,9 +398,8 @@
         """Cancel what is open; a server that another has overtaken counts as failed."""
         tries, self._tries = self._tries, []
         for attempt in tries:
-            attempt.close()
-            if attempt.cancel is not None:
-                attempt.cancel()
+            if not attempt.withdraw():
+                self._attempts.left_open(attempt.server.id)
             failed = True if attempt.doubted else None
             self._forwarder.selector.ended(attempt.server, failed)
 
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -180,7 +180,7 @@
         self._selector = ServerSelector(
             SelectionSettings(), self._beliefs.zone, random_source
         )
-        self._budget = RetryBudget(_budget_settings(settings))
+        self._budget = RetryBudget(_budget_settings(settings), random_source.random())
         self._forwarder = Forwarder(
             self._beliefs,
             self._selector,
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -15,16 +15,16 @@
 
 from damaskramp.core import Counters, Reason
 from damaskramp.dispatch import Load
-from damaskramp.relay.execution import CallReply, Executor
+from damaskramp.relay.execution import CallReply, Cancel, Executor
 from damaskramp.relay.messages import REASON_CODES, REASONS, Call, Kind
 
 __all__ = ["IncomingLink", "Lent", "LinkService", "LinkState", "PeerLink"]
 
 LOGGER = logging.getLogger(__name__)
 
-CONNECT_SECONDS = 0.5
-"""Wait for a connection to another node: many round trips between zones, and a part of
-the shortest deadlines."""
+CONNECT_SECONDS = 0.2
+"""Wait for a connection to another node: many round trips between zones, and shorter
+than the second after which a lost opening packet is sent again."""
 
 SILENCE_SECONDS = 0.6
 """Silence after which a link with open questions is broken. Several round trips and
@@ -33,6 +33,10 @@
 PROBE_SECONDS = 0.2
 """Silence after which a link with open calls is asked for a sign of life."""
 
+LASTING_SECONDS = 0.25
+"""Time for which a link must have been up to be opened again at once after a reset, so
+that a node that resets each link is not asked all the time."""
+
 MESSAGE_BYTES = 80 * 1024 * 1024
 """Largest message: the largest body of a request, with room for its head."""
 
@@ -109,7 +113,8 @@
     on_pong : callable
         Called with the host and the fields of each answer to a ping.
     on_down : callable
-        Called with the host, the cause and the open calls where the link breaks.
+        Called with the host, the cause and the open calls where the link breaks, and
+        whether the other side has ended a link that had been up for a while.
     """
 
     def __init__(
@@ -119,7 +124,7 @@
         clock: Callable[[], float],
         counters: Counters,
         on_pong: Callable[[str, list], None],
-        on_down: Callable[[str, str, int], None],
+        on_down: Callable[[str, str, int, bool], None],
     ) -> None:
         super().__init__()
         self._host = host
@@ -130,9 +135,11 @@
         self._on_down = on_down
         self._numbers = 0
         self._calls: dict[int, CallReply] = {}
+        self._unsent: dict[int, tuple] = {}
         self._loans: dict[int, Lent] = {}
         self._heard = clock()
         self._asked: float | None = None
+        self._opened_at = clock()
         self._task: asyncio.Task | None = None
         self._state = LinkState.CONNECTING
         self.used = clock()
@@ -171,15 +178,19 @@
             transport.abort()
             return
         self._state = LinkState.UP
-        self._heard = self._clock()
+        self._heard = self._opened_at = self._clock()
         self._counters.add("peer_links", reason="opened")
         super().connection_made(transport)
+        unsent, self._unsent = self._unsent, {}
+        for message in unsent.values():
+            self.send(message)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Tell all open calls."""
-        self._down(repr(error), sent=True)
+        lasted = self._clock() - self._opened_at > LASTING_SECONDS
+        self._down(repr(error), sent=True, was_reset=lasted)
 
-    def call(self, call: Call, reply: CallReply) -> Callable[[], None]:
+    def call(self, call: Call, reply: CallReply) -> Cancel:
         """Send a call; return how to cancel it."""
         self._numbers += 1
         number = self._numbers
@@ -187,7 +198,11 @@
         self.used = self._clock()
         if self._asked is None:
             self._asked = self.used
-        self.send((Kind.CALL, number, *call[1:]))
+        message = (Kind.CALL, number, *call[1:])
+        if self._state is LinkState.CONNECTING:
+            self._unsent[number] = message
+        else:
+            self.send(message)
         return lambda: self._cancel(number)
 
     def ping(self, *fields: object) -> None:
@@ -249,11 +264,15 @@
         if self._asked is None:
             self._asked = self._clock()
 
-    def _cancel(self, number: int) -> None:
-        if self._calls.pop(number, None) is not None:
-            self.send((Kind.CANCEL, number))
+    def _cancel(self, number: int) -> bool:
+        if self._calls.pop(number, None) is None:
+            return False
+        if self._unsent.pop(number, None) is not None:
+            return True
+        self.send((Kind.CANCEL, number))
+        return False
 
-    def _down(self, cause: str, sent: bool) -> None:
+    def _down(self, cause: str, sent: bool, was_reset: bool = False) -> None:
         if self._state is LinkState.DOWN:
             return
         self._state = LinkState.DOWN
@@ -261,8 +280,9 @@
             self._transport.abort()
             self._transport = None
         calls, self._calls = self._calls, {}
+        self._unsent.clear()
         loans, self._loans = self._loans, {}
-        self._on_down(self._host, cause, len(calls))
+        self._on_down(self._host, cause, len(calls), was_reset)
         for reply in calls.values():
             if sent:
                 reply.failed(Reason.BACKEND_SERVER_LOST, None)
@@ -318,7 +338,7 @@
     def __init__(self, service: LinkService) -> None:
         super().__init__()
         self._service = service
-        self._cancels: dict[int, Callable[[], None]] = {}
+        self._cancels: dict[int, Cancel] = {}
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Note the link."""
@@ -395,5 +415,5 @@
     return load.running, load.waiting, load.limit, load.service_time
 
 
-def _no_loss(host: str, cause: str, open_calls: int) -> None:
+def _no_loss(host: str, cause: str, open_calls: int, was_reset: bool) -> None:
     """Take the end of a link that was closed here."""
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -20,7 +20,7 @@
     SourceError,
 )
 from damaskramp.relay.beliefs import Beliefs
-from damaskramp.relay.execution import CallReply
+from damaskramp.relay.execution import CallReply, Cancel
 from damaskramp.relay.messages import (
     Call,
     Kind,
@@ -90,7 +90,7 @@
         self._packed_document = b""
         self.leaving = False
 
-    def call(self, host: str, call: Call, reply: CallReply) -> Callable[[], None]:
+    def call(self, host: str, call: Call, reply: CallReply) -> Cancel:
         """Send a call to another node; return how to cancel it."""
         link = self._link(host)
         if link is None:
@@ -333,6 +333,9 @@
             return link
         if self._clock() < self._broken.get(host, 0.0):
             return None
+        return self._open(host)
+
+    def _open(self, host: str) -> PeerLink:
         link = PeerLink(
             host, self._port, self._clock, self._counters, self._pong, self._lost
         )
@@ -340,8 +343,13 @@
         link.open()
         return link
 
-    def _lost(self, host: str, cause: str, open_calls: int) -> None:
+    def _lost(self, host: str, cause: str, open_calls: int, was_reset: bool) -> None:
         self._links.pop(host, None)
+        if was_reset and host not in self._unreachable:
+            # The host answers: its node may have ended, or the connection alone has.
+            self._counters.add("peer_links", reason="reset")
+            self._open(host)
+            return
         if host not in self._unreachable:
             fields = {"host": host, "cause": cause, "open_calls": open_calls}
             LOGGER.info("link to node lost", extra=fields)
@@ -353,5 +361,6 @@
             self._unreachable.discard(host)
 
 
-def _nothing() -> None:
+def _nothing() -> bool:
     """Cancel of a call that was not sent."""
+    return True
--- a/damaskramp/relay/server_attempt.py
+++ b/damaskramp/relay/server_attempt.py
@@ -2,12 +2,11 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 
 from damaskramp.core import Reason
 from damaskramp.dispatch import Load
 from damaskramp.fleet import BackendServer
-from damaskramp.relay.execution import CallReply
+from damaskramp.relay.execution import CallReply, Cancel
 
 __all__ = ["AttemptOwner", "ServerAttempt"]
 
@@ -66,9 +65,14 @@
         self.server = server
         self.is_open = True
         self.doubted = False
-        self.cancel: Callable[[], None] | None = None
+        self.cancel: Cancel | None = None
         self.doubt: asyncio.TimerHandle | None = None
 
+    def withdraw(self) -> bool:
+        """Cancel the attempt; return whether it has run nowhere and never will."""
+        self.close()
+        return self.cancel is not None and self.cancel()
+
     def close(self) -> None:
         """Take no outcome any more."""
         self.is_open = False
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -1,9 +1,11 @@
 """What nodes believe, how old it may be, and how it reaches nodes without the store."""
 
 import asyncio
+import time
 from dataclasses import replace
 
-from tests.relay_fleet import CLUBS, RelayTestCase, configuration, route
+from damaskramp.relay.peer_link import LinkState, PeerLink
+from tests.relay_fleet import CLUBS, RelayTestCase, configuration, ok, route
 
 
 def one_key_less(version):
@@ -175,6 +177,66 @@
         got = self.play(scenario, ("svc", "far"), config)
         self.assertEqual((False, set(), 200), got)
 
+    def test_link_that_was_reset_is_opened_again_at_once(self):
+        async def scenario(fleet):
+            await fleet.ask("/a")
+            await asyncio.sleep(0.3)
+            fleet.nodes[1]._links.abort()
+            await asyncio.sleep(0.05)
+            return (await fleet.ask("/a"))[0], set(fleet.nodes[0]._peers._unreachable)
+
+        config = configuration(1, [route("far", "/")], CLUBS)
+        got = self.play(scenario, ("svc", "far"), config)
+        self.assertEqual((200, set()), got)
+
+    def test_call_on_a_link_that_never_came_up_has_not_run(self):
+        async def scenario(fleet):
+            peers = fleet.nodes[0]._peers
+            await fleet.until(lambda: fleet.host(1) in peers._links)
+            link = peers._links[fleet.host(1)]
+            await fleet.until(lambda: link.state is LinkState.UP)
+            # Opens no connection, as where the opening packet is lost.
+            lost = PeerLink(
+                fleet.host(1),
+                8102,
+                time.monotonic,
+                fleet.counters[0],
+                lambda *fields: None,
+                lambda *fields: None,
+            )
+            peers._links[fleet.host(1)] = lost
+            got = await fleet.ask("/a", method="POST", extra="X-Timeout-Ms: 200\r\n")
+            lost.open()
+            await fleet.until(lambda: lost.state is LinkState.UP)
+            await asyncio.sleep(0.1)
+            lost.close()
+            link.close()
+            return got[0], b"not-run" in got[2], len(fleet.servers[1].seen)
+
+        far = configuration(1, [route("far", "/", kind="non_idempotent")], CLUBS)
+        self.assertEqual((503, True, 0), self.play(scenario, ("svc", "far"), far))
+
+    def test_call_that_waited_to_its_deadline_has_not_run(self):
+        async def busy(request):
+            await asyncio.sleep(1.0)
+            return ok(request)
+
+        async def scenario(fleet):
+            fleet.list_server(1, slots=1)
+            node = fleet.nodes[1]
+            await fleet.until(lambda: node._beliefs.own_slots == 1)
+            first = asyncio.ensure_future(fleet.ask("/a", method="POST"))
+            await fleet.until(lambda: node._executor.running)
+            extra = "X-Timeout-Ms: 400\r\n"
+            got = await fleet.ask("/a", method="POST", extra=extra, request_id="q2")
+            await first
+            return got[0], b"not-run" in got[2], len(fleet.servers[1].seen)
+
+        far = configuration(1, [route("far", "/", kind="non_idempotent")], CLUBS)
+        options = {"scripts": [None, busy]}
+        got = self.play(scenario, ("svc", "far"), far, **options)
+        self.assertEqual((503, True, 1), got)
+
 
 class TestReload(RelayTestCase):
     def test_bounds_change_and_addresses_stay(self):
@@ -197,8 +259,6 @@
 class TestStop(RelayTestCase):
     def test_planned_stop_cuts_nothing(self):
         async def slow(request):
-            from tests.relay_fleet import ok
-
             await asyncio.sleep(0.3)
             return ok(request)
 
