Repeats near the top of the call graph get a smaller part of the retry budget

Change: nodes learn from answers how many levels lie below a service, and each level halves the part of a repeat there.

Test: TestDeepChain, seen failing with equal parts.

--- a/damaskramp/dispatch/__init__.py
+++ b/damaskramp/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Decisions on single requests, without sockets: where, when and whether they run."""
 
 from damaskramp.dispatch.attempts import Attempts
+from damaskramp.dispatch.call_depths import CallDepths
 from damaskramp.dispatch.comeback import comeback_seconds
 from damaskramp.dispatch.lenders import Lenders, LenderSettings
 from damaskramp.dispatch.retry_budget import (
@@ -17,6 +18,7 @@
 
 __all__ = [
     "Attempts",
+    "CallDepths",
     "Death",
     "LenderSettings",
     "Lenders",
--- a/damaskramp/dispatch/attempts.py
+++ b/damaskramp/dispatch/attempts.py
@@ -7,6 +7,7 @@
 """
 
 from damaskramp.core import Counters, Outcome, Reason, ServiceName
+from damaskramp.dispatch.call_depths import CallDepths
 from damaskramp.dispatch.retry_budget import RetryBudget
 from damaskramp.fleet.model import Route, ServerId
 
@@ -41,6 +42,7 @@
         "_budget",
         "_counters",
         "_deadline",
+        "_depths",
         "_inherited_share",
         "_may_have_run",
         "_refusals",
@@ -51,8 +53,11 @@
         "wait",
     )
 
-    def __init__(self, budget: RetryBudget, counters: Counters) -> None:
+    def __init__(
+        self, budget: RetryBudget, depths: CallDepths, counters: Counters
+    ) -> None:
         self._budget = budget
+        self._depths = depths
         self._counters = counters
         self._service = ServiceName("")
         self._route: Route | None = None
@@ -134,7 +139,7 @@
     def _within_budget(self, now: float) -> bool:
         if self.arrivals >= self._route.attempts:
             return False
-        allowed = self._budget.spend(self._service, now)
+        allowed = self._budget.spend(self._service, now, self._depths.of(self._service))
         reason = "allowed" if allowed else "budget"
         self._counters.add("repeats", reason=reason)
         return allowed
--- a/damaskramp/dispatch/retry_budget.py
+++ b/damaskramp/dispatch/retry_budget.py
@@ -40,6 +40,10 @@
         Length of the sliding window in seconds.
     allowance : float
         Repeats allowed besides, over all hosts.
+    depth_share : float
+        Part that is left of a host's part for each level of services below. What the
+        levels above have spent counts as spent below, but hosts differ in how much that
+        is: with equal parts at four levels the deepest exceeds its bound by a third.
     used_ratio, used_allowance : float
         Parts of the bound that hosts spend themselves. The share of runs that are
         repeats is a mean, and a fleet that shrinks leaves larger parts to hosts for a
@@ -49,6 +53,7 @@
     ratio: float = 0.2
     window: float = 10.0
     allowance: float = 48.0
+    depth_share: float = 0.5
     used_ratio: float = 0.55
     used_allowance: float = 0.5
 
@@ -136,8 +141,14 @@
         if repeat_share > 0:
             self._counts(self._repeats, service).add(part, repeat_share)
 
-    def spend(self, service: ServiceName, now: float) -> bool:
-        """Spend one repeat; False where the budget has none left."""
+    def spend(self, service: ServiceName, now: float, depth: int = 0) -> bool:
+        """Spend one repeat; False where the budget has none left.
+
+        Parameters
+        ----------
+        depth : int
+            Services below this one whose calls a repeat makes once more.
+        """
         settings = self._settings
         part = self._part(now)
         requests = self._counts(self._requests, service)
@@ -146,6 +157,7 @@
         before = requests.sum(part - 2 * PARTS + 1, part - PARTS)
         allowed = settings.used_ratio * settings.ratio * max(recent, before)
         allowed += settings.used_allowance * settings.allowance / self._hosts
+        allowed *= settings.depth_share**depth
         repeats = self._counts(self._repeats, service)
         if repeats.sum(part - PARTS, part) + 1 > allowed + self._draw:
             return False
--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -126,12 +126,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """What a backend server does at a moment; `service_time` in seconds."""
+    """What a backend server does at a moment.
+
+    Attributes
+    ----------
+    service_time : float
+        Mean time of a run in seconds.
+    depth : int
+        Levels of services that its calls reach down.
+    """
 
     running: int
     waiting: int
     limit: int
     service_time: float
+    depth: int = 0
 
 
 class _Lane:
@@ -153,10 +162,17 @@
 
 
 class SlotQueue:
-    """Requests that run or wait at one backend server."""
+    """Requests that run or wait at one backend server.
+
+    Attributes
+    ----------
+    depth : int
+        Levels of services that the server's calls reach down, for its load.
+    """
 
     def __init__(self, settings: SlotSettings, slots: int) -> None:
         self._settings = settings
+        self.depth = 0
         self._order = itertools.count()
         self._running = 0
         self._waiting = 0
@@ -187,7 +203,7 @@
     @property
     def load(self) -> Load:
         """What the server does now."""
-        return Load(self._running, self._waiting, self._limit, self._mean)
+        return Load(self._running, self._waiting, self._limit, self._mean, self.depth)
 
     def comeback_wait(self, is_call: bool, priority: int) -> float:
         """Seconds until a refused request is likely to find room."""
--- a/damaskramp/dispatch/tests/test_attempts.py
+++ b/damaskramp/dispatch/tests/test_attempts.py
@@ -5,7 +5,12 @@
 from testtools import TestCase
 
 from damaskramp.core import Counters, Outcome, Reason
-from damaskramp.dispatch import Attempts, RetryBudget, RetryBudgetSettings
+from damaskramp.dispatch import (
+    Attempts,
+    CallDepths,
+    RetryBudget,
+    RetryBudgetSettings,
+)
 from damaskramp.fleet import Route
 
 DEADLINE = 10.0
@@ -14,7 +19,7 @@
 def attempts(idempotent=True, most=3, allowance=100.0):
     budget = RetryBudget(RetryBudgetSettings(0.2, 10.0, allowance))
     route = Route("r", "h", "/", (), idempotent, 5.0, 1.0, most, 0, False)
-    found = Attempts(budget, Counters())
+    found = Attempts(budget, CallDepths(), Counters())
     found.begin("draws", route, DEADLINE, 0.0, 0.0)
     return found
 
--- a/damaskramp/dispatch/tests/test_decisions.py
+++ b/damaskramp/dispatch/tests/test_decisions.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from damaskramp.dispatch import (
+    CallDepths,
     Death,
     Load,
     RepeatShare,
@@ -194,6 +195,73 @@
         self.assertGreaterEqual(repeats, 0.08 * len(arrivals["front"]))
 
 
+class TestDeepChain(TestCase):
+    """Four levels, each on few hosts, with failures at all of them or at some."""
+
+    CALLS = {"front": ("desk", 1), "desk": ("room", 1), "room": ("deep", 4)}
+    HOSTS = {"callers": 26, "front": 11, "desk": 5, "room": 5, "deep": 5}
+    ALLOWANCE = 15.0
+
+    def play(self, seed, fails):
+        source = random.Random(seed)
+        settings = RetryBudgetSettings(0.2, 10.0, self.ALLOWANCE)
+        places = [(s, h) for s, count in self.HOSTS.items() for h in range(count)]
+        budgets = {place: RetryBudget(settings, source.random()) for place in places}
+        depths = {place: CallDepths() for place in places}
+        shares = {place: RepeatShare() for place in places}
+        arrivals = {service: [] for service in self.HOSTS}
+
+        def place_of(service):
+            return service, source.randrange(self.HOSTS[service])
+
+        def run(service, is_repeat, share, now):
+            place = place_of(service)
+            shares[place].started(share)
+            called, times = self.CALLS.get(service, ("", 0))
+            for _ in range(times):
+                depths[place].called(called, now)
+                request(called, place, is_repeat, shares[place].value, now)
+            return depths[place].own(now)
+
+        def request(service, place, is_repeat, share, now):
+            budgets[place].request(service, now, share)
+            arrivals[service].append((now, is_repeat))
+            depth = run(service, is_repeat, share, now)
+            depths[place].heard(service, depth, now)
+            failed = source.random() < fails(service)
+            level = depths[place].of(service)
+            if failed and budgets[place].spend(service, now, level):
+                arrivals[service].append((now, True))
+                run(service, True, 1.0, now)
+
+        for budget in budgets.values():
+            budget.resize(len(budgets) - self.HOSTS["callers"])
+        now = 0.0
+        while (now := now + source.expovariate(28.0)) < 30.0:
+            request("front", place_of("callers"), False, 0.0, now)
+        return arrivals
+
+    def test_no_level_exceeds_its_budget(self):
+        mixes = {
+            "all": lambda service: 0.3,
+            "all badly": lambda service: 0.6,
+            "deep": lambda service: 0.55 if service == "deep" else 0.1,
+            "front": lambda service: 0.9 if service == "front" else 0.3,
+        }
+        for name, fails in mixes.items():
+            for seed in (1, 2):
+                arrivals = self.play(seed, fails)
+                for service in ("front", "desk", "room", "deep"):
+                    for end in range(10, 31):
+                        window = [
+                            a for t, a in arrivals[service] if end - 10 < t <= end
+                        ]
+                        repeats = sum(window)
+                        bound = 0.2 * (len(window) - repeats) + self.ALLOWANCE
+                        with self.subTest(mix=name, service=service, end=end):
+                            self.assertLessEqual(repeats, bound)
+
+
 class TestSuspects(TestCase):
     def test_second_death_quarantines_and_time_clears(self):
         suspects = Suspects(SuspectSettings(deaths=2, memory=60.0))
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -116,6 +116,10 @@
         """Share of the runs at the server that repeat others, 0 to 1."""
         return self._repeats.value
 
+    def note_depth(self, depth: int) -> None:
+        """Take how many levels of services the server's calls reach down."""
+        self._queue.depth = depth
+
     def submit(self, call: Call, reply: CallReply) -> Cancel:
         """Take a call; return how to cancel it."""
         now = self._clock()
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -7,6 +7,7 @@
 from damaskramp.core import Counters, Outcome, Reason
 from damaskramp.dispatch import (
     Attempts,
+    CallDepths,
     Load,
     RetryBudget,
     RouteEntry,
@@ -75,6 +76,7 @@
         self.log = log
         self.random = random_source
         self.route_times = RouteTimes()
+        self.depths = CallDepths()
 
     def handle(self, request: CallerRequest) -> None:
         """Take a whole request."""
@@ -106,7 +108,9 @@
         self._holder: KeyHolder | None = None
         self._service = ""
         self._tries: list[ServerAttempt] = []
-        self._attempts = Attempts(forwarder.budget, forwarder.counters)
+        self._attempts = Attempts(
+            forwarder.budget, forwarder.depths, forwarder.counters
+        )
         self._ready: tuple[int, bytes, bytes] | None = None
         self._loop_timer: asyncio.TimerHandle | None = None
         self._outgoing: OutgoingRequest | None = None
@@ -168,12 +172,12 @@
             return
         forwarder, request = self._forwarder, self._request
         self._service = self._entry.next_service()
+        now, inherited = forwarder.clock(), 0.0
+        if self._is_call:
+            inherited = forwarder.executor.repeat_share
+            forwarder.depths.called(self._service, now)
         self._attempts.begin(
-            self._service,
-            self._entry.route,
-            self._deadline,
-            forwarder.executor.repeat_share if self._is_call else 0.0,
-            forwarder.clock(),
+            self._service, self._entry.route, self._deadline, inherited, now
         )
         forwarder.counters.add("requests", reason=self._service)
         holder = self._holder
@@ -378,7 +382,9 @@
         server, forwarder = attempt.server, self._forwarder
         forwarder.selector.ended(server, failed)
         if load is not None:
-            forwarder.selector.reported(server, load, forwarder.clock())
+            now = forwarder.clock()
+            forwarder.selector.reported(server, load, now)
+            forwarder.depths.heard(self._service, load.depth, now)
         self._attempts.tried.add(server.id)
 
     def _fails_alone(self, server: BackendServer) -> bool:
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -372,6 +372,7 @@
 
     def _gossip(self) -> None:
         directory = self._beliefs.directory
+        self._executor.note_depth(self._forwarder.depths.own(self._timers.now))
         directory.release_removals()
         self._budget.resize(len(directory.hosts()))
         self._selector.forget({server.id for server in directory.servers})
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -411,8 +411,8 @@
         self._link.finish(self._number, message)
 
 
-def _wire(load: Load) -> tuple[int, int, int, float]:
-    return load.running, load.waiting, load.limit, load.service_time
+def _wire(load: Load) -> tuple[int, int, int, float, int]:
+    return load.running, load.waiting, load.limit, load.service_time, load.depth
 
 
 def _no_loss(host: str, cause: str, open_calls: int, was_reset: bool) -> None:
--- a/tests/test_relay_silence.py
+++ b/tests/test_relay_silence.py
@@ -67,7 +67,7 @@
         async def scenario(fleet):
             await self.learn(fleet)
             budget = fleet.nodes[0]._budget
-            budget.spend = lambda service, now: False
+            budget.spend = lambda service, now, depth: False
             got = await fleet.ask("/a", extra="X-Timeout-Ms: 500\r\n")
             return got[0], [len(server.seen) for server in fleet.servers[:2]]
 
