Depth counts calls that a good part of the runs make

Change and test: a service counts as called from one call in five runs; TestDeepChain has such requests now.

--- a/damaskramp/dispatch/call_depths.py
+++ b/damaskramp/dispatch/call_depths.py
@@ -5,24 +5,31 @@
 service from its answers: each node tells how many levels its own backend server's calls
 reach down.
 
+Requests without a key may also come from others than the backend server. A service
+counts as called only where a good part of the server's runs call it; what fewer runs
+call costs little when they are repeated.
+
 Examples
 --------
 >>> depths = CallDepths()
 >>> depths.of("draws")
 1
 >>> depths.heard("draws", 0, 10.0)
+>>> depths.ran(10.0)
 >>> depths.called("draws", 10.0)
 >>> depths.of("draws"), depths.own(10.0), depths.own(99.0)
 (0, 1, 0)
 """
 
+from collections import Counter
+
 from damaskramp.core.ids import ServiceName
 
 __all__ = ["CallDepths"]
 
 MEMORY_SECONDS = 30.0
-"""Time for which a call or a greater depth is remembered; call graphs change with
-releases, not with requests."""
+"""Time for which a greater depth is remembered, and twice the time over which calls and
+runs are counted; call graphs change with releases, not with requests."""
 
 DEEPEST = 32
 """Greatest depth told, so that a graph with a circle has one."""
@@ -30,13 +37,26 @@
 UNKNOWN_DEPTH = 1
 """Depth of a service that has not answered yet."""
 
+CALLED_SHARE = 0.2
+"""Calls for each run from which a service counts as called."""
+
+
+class _Counts:
+    """Runs and calls of one period."""
+
+    def __init__(self) -> None:
+        self.runs = 0
+        self.calls: Counter[ServiceName] = Counter()
+
 
 class CallDepths:
     """Depths of services and of this host's own calls."""
 
     def __init__(self) -> None:
         self._told: dict[ServiceName, tuple[int, float]] = {}
-        self._called: dict[ServiceName, float] = {}
+        self._period = 0
+        self._now = _Counts()
+        self._before = _Counts()
 
     def heard(self, service: ServiceName, depth: int, now: float) -> None:
         """Note the depth that a host of a service has told.
@@ -53,11 +73,31 @@
         known = self._told.get(service)
         return UNKNOWN_DEPTH if known is None else known[0]
 
+    def ran(self, now: float) -> None:
+        """Note a run at the backend server of this host."""
+        self._turn(now)
+        self._now.runs += 1
+
     def called(self, service: ServiceName, now: float) -> None:
-        """Note a call that the backend server of this host has made."""
-        self._called[service] = now
+        """Note a request without a key on this host."""
+        self._turn(now)
+        self._now.calls[service] += 1
 
     def own(self, now: float) -> int:
         """Levels of services below that of this host."""
-        recent = [s for s, at in self._called.items() if now - at <= MEMORY_SECONDS]
-        return max((min(DEEPEST, 1 + self.of(s)) for s in recent), default=0)
+        self._turn(now)
+        least = CALLED_SHARE * (self._now.runs + self._before.runs)
+        calls = self._now.calls + self._before.calls
+        if not least:
+            return 0
+        called = [service for service, count in calls.items() if count >= least]
+        return max((min(DEEPEST, 1 + self.of(s)) for s in called), default=0)
+
+    def _turn(self, now: float) -> None:
+        period = int(2 * now / MEMORY_SECONDS)
+        if period == self._period:
+            return
+        follows = period == self._period + 1
+        self._before = self._now if follows else _Counts()
+        self._now = _Counts()
+        self._period = period
--- a/damaskramp/dispatch/tests/test_decisions.py
+++ b/damaskramp/dispatch/tests/test_decisions.py
@@ -217,6 +217,10 @@
         def run(service, is_repeat, share, now):
             place = place_of(service)
             shares[place].started(share)
+            depths[place].ran(now)
+            if source.random() < 0.05:
+                # Others ask without a key on this host as well.
+                depths[place].called("front", now)
             called, times = self.CALLS.get(service, ("", 0))
             for _ in range(times):
                 depths[place].called(called, now)
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -10,7 +10,15 @@
 from collections.abc import Callable
 
 from damaskramp.core import ByteBudget, Counters, Reason
-from damaskramp.dispatch import Death, Load, RepeatShare, SlotQueue, Verdict, Work
+from damaskramp.dispatch import (
+    CallDepths,
+    Death,
+    Load,
+    RepeatShare,
+    SlotQueue,
+    Verdict,
+    Work,
+)
 from damaskramp.relay.backend_connection import (
     Exchange,
     ExchangeFailure,
@@ -74,7 +82,15 @@
 
 
 class Executor:
-    """The backend server of this host, its queue and its connections."""
+    """The backend server of this host, its queue and its connections.
+
+    Attributes
+    ----------
+    depths : CallDepths
+        Levels of services below this host's and below others.
+    leaving : bool
+        Whether nothing new is run.
+    """
 
     def __init__(
         self,
@@ -99,6 +115,7 @@
         self._runs: set[_Run] = set()
         self._broken: list[tuple[float, int]] = []
         self._repeats = RepeatShare()
+        self.depths = CallDepths()
         self.leaving = False
 
     @property
@@ -116,9 +133,9 @@
         """Share of the runs at the server that repeat others, 0 to 1."""
         return self._repeats.value
 
-    def note_depth(self, depth: int) -> None:
-        """Take how many levels of services the server's calls reach down."""
-        self._queue.depth = depth
+    def tell_depth(self) -> None:
+        """Tell with the load how many levels the server's calls reach down."""
+        self._queue.depth = self.depths.own(self._clock())
 
     def submit(self, call: Call, reply: CallReply) -> Cancel:
         """Take a call; return how to cancel it."""
@@ -273,6 +290,7 @@
             return
         head = call.head + executor._deadline_field % int(remaining * 1000)
         executor._repeats.started(call.repeat_share)
+        executor.depths.ran(now)
         self._abandon = executor._connections.start(
             self, call.request_id, call.head_only, head + call.body
         )
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -7,7 +7,6 @@
 from damaskramp.core import Counters, Outcome, Reason
 from damaskramp.dispatch import (
     Attempts,
-    CallDepths,
     Load,
     RetryBudget,
     RouteEntry,
@@ -76,7 +75,7 @@
         self.log = log
         self.random = random_source
         self.route_times = RouteTimes()
-        self.depths = CallDepths()
+        self.depths = executor.depths
 
     def handle(self, request: CallerRequest) -> None:
         """Take a whole request."""
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -372,7 +372,7 @@
 
     def _gossip(self) -> None:
         directory = self._beliefs.directory
-        self._executor.note_depth(self._forwarder.depths.own(self._timers.now))
+        self._executor.tell_depth()
         directory.release_removals()
         self._budget.resize(len(directory.hosts()))
         self._selector.forget({server.id for server in directory.servers})
