Requests are offered eagerly to servers that may have room; only the last try waits

Bodies above 16 KB are not offered eagerly. The wait for a slot looks at the runs that hold the slots where they are few.

--- /dev/null
+++ b/benchmarks/few_slots.py
@@ -0,0 +1,288 @@
+"""Placing over many servers with few slots each, under a virtual clock.
+
+Many hosts choose among many servers on news that is a second old, while two kinds of
+requests share the slots: short calls of running requests and long new requests. Shown
+is what callers get for the ways of placing, on the same arrivals::
+
+    python -m benchmarks.few_slots
+"""
+
+import heapq
+import itertools
+import random
+import statistics
+from dataclasses import dataclass, field
+
+from damaskramp.dispatch import (
+    PlacingSettings,
+    SelectionSettings,
+    ServerSelector,
+    SlotQueue,
+    SlotSettings,
+    Tries,
+    Verdict,
+    Work,
+)
+from damaskramp.fleet import BackendServer
+
+__all__ = ["Fleet", "Result", "main"]
+
+LINK_SECONDS = 0.0007
+"""One way between hosts, with the time of both nodes."""
+
+SWEEP_SECONDS = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """Requests of one kind; times in seconds."""
+
+    name: str
+    is_call: bool
+    mean: float
+    spread: float
+    target: float
+    deadline: float
+    share: float
+
+
+KINDS = (
+    Kind("call", True, 0.039, 0.5, 0.3, 0.7, 0.96),
+    Kind("view", False, 0.62, 0.5, 1.5, 3.0, 0.04),
+)
+
+
+@dataclass
+class Result:
+    """What callers got.
+
+    Attributes
+    ----------
+    good : dict
+        Share of each kind that was answered within its latency target.
+    waits : list of float
+        Seconds until a request ran.
+    messages : int
+        Requests sent to servers' nodes.
+    """
+
+    asked: dict[str, int] = field(default_factory=dict)
+    good: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, int] = field(default_factory=dict)
+    waits: dict[str, list[float]] = field(default_factory=dict)
+    messages: int = 0
+    refused_with_free_slot: int = 0
+
+    def goodput(self, kind: str) -> float:
+        """Share answered within the latency target."""
+        return self.good.get(kind, 0) / max(1, self.asked.get(kind, 0))
+
+    def wait(self, kind: str, percent: int) -> float:
+        """Percentile of the wait in seconds."""
+        waits = self.waits.get(kind, [])
+        return statistics.quantiles(waits, n=100)[percent - 1] if len(waits) > 9 else 0
+
+
+class _Request(Work):
+    def __init__(self, fleet: "Fleet", kind: Kind, entry: int) -> None:
+        now = fleet.now
+        super().__init__(
+            kind.name, kind.is_call, 1, now + kind.target, now + kind.deadline
+        )
+        self.fleet = fleet
+        self.spec = kind
+        self.entry = entry
+        self.began = now
+        self.tries = fleet.tries(kind)
+        self.asked: set[str] = set()
+        self.cost_drawn = fleet.draw(kind)
+        self.server: BackendServer | None = None
+
+    def send(self) -> None:
+        """Choose a server and send."""
+        fleet = self.fleet
+        chooser = fleet.selectors[self.entry]
+        rank = 0 if self.is_call else 2
+        found = chooser.choose(fleet.servers, self.asked, rank, fleet.now)
+        if found is None:
+            self.give_up()
+            return
+        self.server = found
+        self.asked.add(found.id)
+        fleet.result.messages += 1
+        chooser.sent(found)
+        self.eager = self.tries.is_eager(len(fleet.servers) - len(self.asked))
+        fleet.after(LINK_SECONDS, self.arrive)
+
+    def arrive(self) -> None:
+        """Reach the server's node."""
+        queue = self.fleet.queues[self.server.id]
+        self.state = "new"
+        verdict = queue.offer(self, self.fleet.now)
+        if verdict is Verdict.RUN:
+            self.fleet.start(self)
+        elif verdict is Verdict.REFUSE:
+            self.fleet.after(LINK_SECONDS, self.refused)
+
+    def refused(self) -> None:
+        """Learn that there is no room."""
+        fleet = self.fleet
+        chooser = fleet.selectors[self.entry]
+        chooser.ended(self.server, None)
+        queue = fleet.queues[self.server.id]
+        chooser.reported(self.server, queue.load, fleet.now)
+        if not self.eager:
+            chooser.refused(self.server, 0 if self.is_call else 2, fleet.now)
+        self.tries.refused()
+        if self.tries.may_go_on():
+            self.send()
+        else:
+            self.give_up()
+
+    def give_up(self) -> None:
+        """Fail for want of room."""
+        fleet = self.fleet
+        fleet.count(fleet.result.refused, self.kind)
+        free = any(q.running < q.limit for q in fleet.queues.values())
+        fleet.result.refused_with_free_slot += free
+
+
+class Fleet:
+    """Entry hosts, servers and arrivals.
+
+    Parameters
+    ----------
+    load : float
+        Demand as a part of all slots.
+    """
+
+    def __init__(
+        self,
+        placing: PlacingSettings,
+        load: float,
+        seed: int = 1,
+        servers: int = 50,
+        slots: int = 2,
+        entries: int = 195,
+        zones: int = 5,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.placing = placing
+        self.now = 0.0
+        self.result = Result()
+        self._events: list = []
+        self._order = itertools.count()
+        self.servers = [
+            BackendServer(
+                f"i-{n}",
+                "deep",
+                f"10.0.0.{n}:80",
+                f"z{n % zones}",
+                slots,
+                False,
+                0,
+                0,
+                1,
+            )
+            for n in range(servers)
+        ]
+        self.queues = {s.id: SlotQueue(SlotSettings(), slots) for s in self.servers}
+        self.speeds = {s.id: (0.7, 0.7, 1.6)[n % 3] for n, s in enumerate(self.servers)}
+        self.selectors = [
+            ServerSelector(
+                SelectionSettings(), f"z{n % zones}", random.Random(seed * 999 + n)
+            )
+            for n in range(entries)
+        ]
+        mean = sum(kind.share * kind.mean for kind in KINDS)
+        self.rate = load * servers * slots / mean
+
+    def tries(self, kind: Kind) -> Tries:
+        """Count of one request's tries."""
+        return Tries(self.placing, len(self.servers), kind.is_call)
+
+    def draw(self, kind: Kind) -> float:
+        """Time of one run at speed 1."""
+        return kind.mean * self.random.lognormvariate(
+            -(kind.spread**2) / 2, kind.spread
+        )
+
+    def after(self, seconds: float, action) -> None:
+        """Do something later."""
+        heapq.heappush(self._events, (self.now + seconds, next(self._order), action))
+
+    def count(self, table: dict, kind: str) -> None:
+        """Count one request of a kind."""
+        table[kind] = table.get(kind, 0) + 1
+
+    def start(self, request: _Request) -> None:
+        """Run a request."""
+        waits = self.result.waits.setdefault(request.kind, [])
+        waits.append(self.now - request.began)
+        took = request.cost_drawn / self.speeds[request.server.id]
+        self.after(took, lambda: self._finish(request))
+
+    def _finish(self, request: _Request) -> None:
+        queue = self.queues[request.server.id]
+        queue.finish(request, self.now, True)
+        chooser = self.selectors[request.entry]
+        chooser.ended(request.server, False)
+        chooser.reported(request.server, queue.load, self.now)
+        if self.now <= request.target:
+            self.count(self.result.good, request.kind)
+        for work in queue.next_runs(self.now):
+            self.start(work)
+
+    def _sweep(self) -> None:
+        for queue in self.queues.values():
+            for work in queue.expire(self.now):
+                work.refused()
+        self.after(SWEEP_SECONDS, self._sweep)
+
+    def play(self, seconds: float) -> Result:
+        """Play arrivals for some seconds."""
+        self._sweep()
+        arrivals = self.now
+        while True:
+            arrivals += self.random.expovariate(self.rate)
+            if arrivals > seconds:
+                break
+            while self._events and self._events[0][0] <= arrivals:
+                self.now, _, action = heapq.heappop(self._events)
+                action()
+            self.now = arrivals
+            kind = self.random.choices(KINDS, [k.share for k in KINDS])[0]
+            self.count(self.result.asked, kind.name)
+            _Request(self, kind, self.random.randrange(len(self.selectors))).send()
+        while self._events and self._events[0][0] <= seconds + 4.0:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        return self.result
+
+
+POLICIES = {
+    "three patient tries": PlacingSettings(call_tries=3, most_tries=3, eager=False),
+    "eager, three tries": PlacingSettings(call_tries=3, most_tries=3),
+    "eager, more tries": PlacingSettings(),
+}
+
+
+def main() -> None:
+    """Print the comparison."""
+    print("load | policy | calls in time | views in time | wait p99 | messages | free")
+    for load in (0.5, 0.8, 1.0, 1.3):
+        for name, settings in POLICIES.items():
+            found = Fleet(settings, load).play(10.0)
+            asked = sum(found.asked.values())
+            figures = (
+                found.goodput("call"),
+                found.goodput("view"),
+                found.wait("call", 99),
+                found.messages / asked,
+                found.refused_with_free_slot / asked,
+            )
+            print(load, name, *(f"{figure:.3f}" for figure in figures), sep=" | ")
+
+
+if __name__ == "__main__":
+    main()
--- a/damaskramp/dispatch/__init__.py
+++ b/damaskramp/dispatch/__init__.py
@@ -4,6 +4,7 @@
 from damaskramp.dispatch.call_depths import CallDepths
 from damaskramp.dispatch.comeback import comeback_seconds
 from damaskramp.dispatch.lenders import Lenders, LenderSettings
+from damaskramp.dispatch.placing import PlacingSettings, Tries
 from damaskramp.dispatch.retry_budget import (
     RepeatShare,
     RetryBudget,
@@ -23,6 +24,7 @@
     "LenderSettings",
     "Lenders",
     "Load",
+    "PlacingSettings",
     "RepeatShare",
     "RetryBudget",
     "RetryBudgetSettings",
@@ -38,6 +40,7 @@
     "SuspectSettings",
     "Suspects",
     "TeamRates",
+    "Tries",
     "Verdict",
     "Work",
     "comeback_seconds",
--- a/damaskramp/dispatch/attempts.py
+++ b/damaskramp/dispatch/attempts.py
@@ -8,13 +8,14 @@
 
 from damaskramp.core import Counters, Outcome, Reason, ServiceName
 from damaskramp.dispatch.call_depths import CallDepths
+from damaskramp.dispatch.placing import Tries
 from damaskramp.dispatch.retry_budget import RetryBudget
 from damaskramp.fleet.model import Route, ServerId
 
 __all__ = ["Attempts"]
 
-REFUSALS = 3
-"""Servers that may refuse a request before its caller is told; each costs a message."""
+EAGER_BODY_BYTES = 16 * 1024
+"""Largest body of a request that is offered eagerly; each try sends it once more."""
 
 LEAST_ATTEMPT_SECONDS = 0.02
 """Remaining time below which a request is not sent again."""
@@ -45,9 +46,9 @@
         "_depths",
         "_inherited_share",
         "_may_have_run",
-        "_refusals",
         "_route",
         "_service",
+        "_tries",
         "arrivals",
         "tried",
         "wait",
@@ -64,7 +65,7 @@
         self._deadline = 0.0
         self._inherited_share = 0.0
         self._may_have_run = False
-        self._refusals = 0
+        self._tries: Tries | None = None
         self.tried: set[ServerId] = set()
         self.arrivals = 0
         self.wait = 0.0
@@ -80,12 +81,15 @@
         route: Route,
         deadline: float,
         inherited_share: float,
+        tries: Tries,
         now: float,
     ) -> None:
         """Count the request for its service.
 
         Parameters
         ----------
+        tries : Tries
+            How many servers may refuse it.
         deadline : float
             Time of the clock after which nobody waits for the answer.
         inherited_share : float
@@ -95,19 +99,30 @@
         self._route = route
         self._deadline = deadline
         self._inherited_share = inherited_share
+        self._tries = tries
         self._budget.request(service, now, inherited_share)
 
     def refused(self, wait: float, arrived: bool) -> None:
         """Note that a server has not run it and never will."""
-        self._refusals += 1
+        self._tries.refused()
         self.wait = max(self.wait, wait)
         self.arrivals += arrived
 
+    def is_eager(self, others: int, body_bytes: int) -> bool:
+        """Whether the next server should refuse rather than have it wait long.
+
+        Parameters
+        ----------
+        others : int
+            Further servers that it could be sent to.
+        """
+        return body_bytes <= EAGER_BODY_BYTES and self._tries.is_eager(others)
+
     def may_try_elsewhere(self, arrived: bool, now: float) -> bool:
         """Whether to try another server after a refusal."""
         if arrived and not self._within_budget(now):
             return False
-        return self._refusals < REFUSALS and not self._is_late(now)
+        return self._tries.may_go_on() and not self._is_late(now)
 
     def ran(self) -> None:
         """Note that a server has run it, or may have."""
--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -28,6 +28,12 @@
 BOUND_SLOTS = 5
 """Highest bound on new requests, for each slot: no bound in practice."""
 
+LOOKED_AT_RUNS = 16
+"""Runs up to which each one's rest is looked at; of more, one ends soon anyway."""
+
+LEAST_REST = 0.25
+"""Part of its mean time that a run is taken to last on, however long it has run."""
+
 
 @dataclass(frozen=True, slots=True)
 class SlotSettings:
@@ -96,11 +102,15 @@
         Time by which its answer has full value.
     deadline : float
         Time from which nobody waits for it.
+    eager : bool
+        Whether it should be refused rather than wait for longer than it runs, because
+        other servers may have room.
     """
 
     __slots__ = (
         "cost",
         "deadline",
+        "eager",
         "enqueued",
         "is_call",
         "kind",
@@ -118,6 +128,7 @@
         self.priority = priority
         self.target = target
         self.deadline = deadline
+        self.eager = False
         self.cost = 0.0
         self.enqueued = 0.0
         self.started = 0.0
@@ -182,6 +193,7 @@
         self._entries = _Lane(settings.entry_weight)
         self._limit = 1
         self._held: dict[int, int] = {}
+        self._runs: set[Work] = set()
         self._bounds: dict[int, OutcomeLimit] = {}
         self.resize(slots)
 
@@ -240,6 +252,21 @@
             slots *= own.weight / (own.weight + other.weight)
         return (own.cost(priority) + self._mean) / slots
 
+    def _soonest_end(self, now: float) -> float:
+        """Seconds until a slot is likely free; 0 where many runs end all the time."""
+        if len(self._runs) > LOOKED_AT_RUNS:
+            return 0.0
+        return min(
+            (
+                max(LEAST_REST * self.service_time(work.kind), self._rest(work, now))
+                for work in self._runs
+            ),
+            default=0.0,
+        )
+
+    def _rest(self, work: Work, now: float) -> float:
+        return self.service_time(work.kind) - (now - work.started)
+
     def offer(self, work: Work, now: float) -> Verdict:
         """Decide on a request that has arrived."""
         work.enqueued = now
@@ -254,7 +281,11 @@
         if self._waiting >= self._settings.queue_slots * self._limit:
             return Verdict.REFUSE
         wait = self.expected_wait(work.is_call, work.priority)
-        if wait > self._settings.wait_share * self._longest_wait(work, now):
+        longest = self._settings.wait_share * self._longest_wait(work, now)
+        if work.eager:
+            wait = max(wait, self._soonest_end(now))
+            longest = min(longest, self.service_time(work.kind))
+        if wait > longest:
             return Verdict.REFUSE
         lane = self._lane(work)
         if not lane.heap:
@@ -279,6 +310,7 @@
         if work.state != "running":
             return
         work.state = "done"
+        self._runs.discard(work)
         if not work.is_call and good is not None:
             held = self._held.get(work.priority, 0)
             # Its own wait here is bounded already; a run that takes most of the
@@ -381,4 +413,5 @@
     def _start(self, work: Work, now: float) -> None:
         work.state = "running"
         work.started = now
+        self._runs.add(work)
         self._running += 1
--- a/damaskramp/dispatch/tests/test_attempts.py
+++ b/damaskramp/dispatch/tests/test_attempts.py
@@ -8,8 +8,10 @@
 from damaskramp.dispatch import (
     Attempts,
     CallDepths,
+    PlacingSettings,
     RetryBudget,
     RetryBudgetSettings,
+    Tries,
 )
 from damaskramp.fleet import Route
 
@@ -20,7 +22,8 @@
     budget = RetryBudget(RetryBudgetSettings(0.2, 10.0, allowance))
     route = Route("r", "h", "/", (), idempotent, 5.0, 1.0, most, 0, False)
     found = Attempts(budget, CallDepths(), Counters())
-    found.begin("draws", route, DEADLINE, 0.0, 0.0)
+    tries = Tries(PlacingSettings(), servers=9, is_call=False)
+    found.begin("draws", route, DEADLINE, 0.0, tries, 0.0)
     return found
 
 
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -386,4 +386,5 @@
             now + call.target,
             now + call.remaining,
         )
+        self.eager = call.eager
         self.run = run
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -8,10 +8,12 @@
 from damaskramp.dispatch import (
     Attempts,
     Load,
+    PlacingSettings,
     RetryBudget,
     RouteEntry,
     RouteTimes,
     ServerSelector,
+    Tries,
     comeback_seconds,
 )
 from damaskramp.fleet import BackendServer
@@ -76,6 +78,7 @@
         self.random = random_source
         self.route_times = RouteTimes()
         self.depths = executor.depths
+        self.placing = PlacingSettings()
 
     def handle(self, request: CallerRequest) -> None:
         """Take a whole request."""
@@ -175,8 +178,14 @@
         if self._is_call:
             inherited = forwarder.executor.repeat_share
             forwarder.depths.called(self._service, now)
+        servers = len(forwarder.beliefs.directory.of_service(self._service))
         self._attempts.begin(
-            self._service, self._entry.route, self._deadline, inherited, now
+            self._service,
+            self._entry.route,
+            self._deadline,
+            inherited,
+            Tries(forwarder.placing, servers, self._is_call),
+            now,
         )
         forwarder.counters.add("requests", reason=self._service)
         holder = self._holder
@@ -234,9 +243,12 @@
     def _send_to(self, server: BackendServer) -> None:
         forwarder = self._forwarder
         now = forwarder.clock()
-        call = self._call(server, now)
+        listed = forwarder.beliefs.directory.of_service(self._service)
+        others = len(forwarder.peers.usable(listed)) - len(self._attempts.tried) - 1
+        eager = self._attempts.is_eager(others, len(self._request.body))
+        call = self._call(server, eager, now)
         forwarder.selector.sent(server)
-        attempt = ServerAttempt(self, server)
+        attempt = ServerAttempt(self, server, eager)
         self._tries.append(attempt)
         if server.host == forwarder.beliefs.host:
             cancel = forwarder.executor.submit(call, attempt)
@@ -275,7 +287,7 @@
             self._log("request sent again", reason="silent", silent=attempt.server.id)
         self._send_to(server)
 
-    def _call(self, server: BackendServer, now: float) -> Call:
+    def _call(self, server: BackendServer, eager: bool, now: float) -> Call:
         request = self._request
         outgoing, holder = self._outgoing, self._holder
         return Call(
@@ -294,6 +306,7 @@
             holder.digest if holder is not None else b"",
             outgoing.fingerprint,
             self._attempts.repeat_share,
+            eager,
         )
 
     def answered(
@@ -342,7 +355,7 @@
         now = forwarder.clock()
         if reason is Reason.CONNECT_FAILED:
             forwarder.selector.shun(server, SHUN_SECONDS, now)
-        if reason is Reason.OVERLOADED and not arrived:
+        if reason is Reason.OVERLOADED and not arrived and not attempt.eager:
             forwarder.selector.refused(server, self._rank, now)
         if reason is Reason.KEY_WITHDRAWN:
             # One of the two nodes is behind; which of them is not known here.
--- a/damaskramp/relay/messages.py
+++ b/damaskramp/relay/messages.py
@@ -79,6 +79,8 @@
         Hash of caller, method, path and body.
     repeat_share : float
         Probability that this run repeats another, 0 to 1; its calls inherit it.
+    eager : bool
+        Whether to refuse it rather than have it wait for longer than it runs.
     """
 
     number: int
@@ -96,6 +98,7 @@
     key_digest: bytes
     fingerprint: int
     repeat_share: float
+    eager: bool
 
 
 SERVER_TYPES = (str, str, str, str, int, bool, float, int, int)
--- a/damaskramp/relay/server_attempt.py
+++ b/damaskramp/relay/server_attempt.py
@@ -48,6 +48,8 @@
 
     Attributes
     ----------
+    eager : bool
+        Whether the server was to refuse it rather than have it wait long.
     is_open : bool
         Whether its outcome is still waited for.
     doubted : bool
@@ -58,10 +60,11 @@
         When the server is doubted.
     """
 
-    __slots__ = ("_owner", "cancel", "doubt", "doubted", "is_open", "server")
+    __slots__ = ("_owner", "cancel", "doubt", "doubted", "eager", "is_open", "server")
 
-    def __init__(self, owner: AttemptOwner, server: BackendServer) -> None:
+    def __init__(self, owner: AttemptOwner, server: BackendServer, eager: bool) -> None:
         self._owner = owner
+        self.eager = eager
         self.server = server
         self.is_open = True
         self.doubted = False
