--- a/damaskramp/dispatch/call_depths.py
+++ b/damaskramp/dispatch/call_depths.py
@@ -15,8 +15,9 @@
 >>> depths.of("draws")
 1
 >>> depths.heard("draws", 0, 10.0)
->>> depths.ran(10.0)
->>> depths.called("draws", 10.0)
+>>> for _ in range(30):
+...     depths.ran(10.0)
+...     depths.called("draws", 10.0)
 >>> depths.of("draws"), depths.own(10.0), depths.own(99.0)
 (0, 1, 0)
 """
@@ -40,6 +41,9 @@
 CALLED_SHARE = 0.2
 """Calls for each run from which a service counts as called."""
 
+LEAST_RUNS = 30
+"""Runs below which calls are too few to be told from requests of others."""
+
 
 class _Counts:
     """Runs and calls of one period."""
@@ -86,10 +90,11 @@
     def own(self, now: float) -> int:
         """Levels of services below that of this host."""
         self._turn(now)
-        least = CALLED_SHARE * (self._now.runs + self._before.runs)
-        calls = self._now.calls + self._before.calls
-        if not least:
+        runs = self._now.runs + self._before.runs
+        if runs < LEAST_RUNS:
             return 0
+        calls = self._now.calls + self._before.calls
+        least = CALLED_SHARE * runs
         called = [service for service, count in calls.items() if count >= least]
         return max((min(DEEPEST, 1 + self.of(s)) for s in called), default=0)
 
