--- a/damaskramp/dispatch/call_depths.py
+++ b/damaskramp/dispatch/call_depths.py
@@ -13,13 +13,13 @@
 --------
 >>> depths = CallDepths()
 >>> depths.of("draws")
-1
+2
 >>> depths.heard("draws", 0, 10.0)
 >>> for _ in range(30):
 ...     depths.ran(10.0)
 ...     depths.called("draws", 10.0)
 >>> depths.of("draws"), depths.own(10.0), depths.own(99.0)
-(0, 1, 0)
+(0, 1, -1)
 """
 
 from collections import Counter
@@ -35,8 +35,11 @@
 DEEPEST = 32
 """Greatest depth told, so that a graph with a circle has one."""
 
-UNKNOWN_DEPTH = 1
-"""Depth of a service that has not answered yet."""
+UNKNOWN = -1
+"""Told by a host that has not seen enough runs yet."""
+
+ASSUMED_DEPTH = 2
+"""Levels taken to lie below a service of which none has been told."""
 
 CALLED_SHARE = 0.2
 """Calls for each run from which a service counts as called."""
@@ -68,6 +71,8 @@
         A smaller one is believed only after a while: a host that has just started has
         not seen its server's calls yet.
         """
+        if depth == UNKNOWN:
+            return
         known = self._told.get(service)
         if known is None or depth >= known[0] or now - known[1] > MEMORY_SECONDS:
             self._told[service] = (depth, now)
@@ -75,7 +80,7 @@
     def of(self, service: ServiceName) -> int:
         """Levels of services below one."""
         known = self._told.get(service)
-        return UNKNOWN_DEPTH if known is None else known[0]
+        return ASSUMED_DEPTH if known is None else known[0]
 
     def ran(self, now: float) -> None:
         """Note a run at the backend server of this host."""
@@ -88,14 +93,16 @@
         self._now.calls[service] += 1
 
     def own(self, now: float) -> int:
-        """Levels of services below that of this host."""
+        """Levels of services below that of this host; `UNKNOWN` at first."""
         self._turn(now)
         runs = self._now.runs + self._before.runs
         if runs < LEAST_RUNS:
-            return 0
+            return UNKNOWN
         calls = self._now.calls + self._before.calls
         least = CALLED_SHARE * runs
         called = [service for service, count in calls.items() if count >= least]
+        if any(service not in self._told for service in called):
+            return UNKNOWN
         return max((min(DEEPEST, 1 + self.of(s)) for s in called), default=0)
 
     def _turn(self, now: float) -> None:
--- a/damaskramp/dispatch/retry_budget.py
+++ b/damaskramp/dispatch/retry_budget.py
@@ -54,7 +54,7 @@
     window: float = 10.0
     allowance: float = 48.0
     depth_share: float = 0.5
-    used_ratio: float = 0.55
+    used_ratio: float = 0.5
     used_allowance: float = 0.5
 
 
--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -18,6 +18,7 @@
 from enum import Enum
 from heapq import heappop, heappush
 
+from damaskramp.dispatch.call_depths import UNKNOWN
 from damaskramp.dispatch.outcome_limit import OutcomeLimit, OutcomeLimitSettings
 
 __all__ = ["Load", "SlotQueue", "SlotSettings", "Verdict", "Work"]
@@ -144,14 +145,14 @@
     service_time : float
         Mean time of a run in seconds.
     depth : int
-        Levels of services that its calls reach down.
+        Levels of services that its calls reach down; see `CallDepths`.
     """
 
     running: int
     waiting: int
     limit: int
     service_time: float
-    depth: int = 0
+    depth: int = UNKNOWN
 
 
 class _Lane:
@@ -183,7 +184,7 @@
 
     def __init__(self, settings: SlotSettings, slots: int) -> None:
         self._settings = settings
-        self.depth = 0
+        self.depth = UNKNOWN
         self._order = itertools.count()
         self._running = 0
         self._waiting = 0
