A planned stop sends what was taken to the end, and callers away before it closes

Cause: a stop waited for answers to be given, not to be read: what a slow caller had not read was cut when the process ended. Open connections were closed without a word, and a request that had come but not been read was reset.

Change: answers that are not sent to the end count as open work; from the moment at which a node leaves, answers are the last of their connection; open connections are read once more after the last was accepted.

--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -74,6 +74,15 @@
         """Requests that wait for their answer."""
         return sum(connection.busy for connection in self.connections)
 
+    @property
+    def unsent(self) -> int:
+        """Connections with answers that are not sent to the end."""
+        return sum(connection.has_unsent for connection in self.connections)
+
+    def send_away(self) -> None:
+        """Have each answer from now on be the last of its connection."""
+        self.closing = True
+
     def want_memory(self, connection: "CallerConnection") -> None:
         """Have a connection read on once there is room for its body."""
         self.counters.add("bodies_held_back")
@@ -133,6 +142,12 @@
         """Whether a request waits for its answer."""
         return self._current is not None
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer waits for the caller to read."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Note the transport."""
         self._transport = transport
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -106,6 +106,9 @@
 """The two times before as parts of the grace time, where that is short; what is left is
 for the requests that run."""
 
+LAST_READ_SECONDS = 0.1
+"""Time after the last connection was accepted until idle ones are closed."""
+
 STOP_MARGIN = 0.5
 """Seconds of the grace time that are kept back."""
 
@@ -261,9 +264,12 @@
         await self._timers.sleep(min(WORK_ON_SECONDS, WORK_ON_SHARE * grace))
         self._executor.leaving = True
         self._peers.announce()
+        self._listener.send_away()
         linger = began + min(LINGER_SECONDS, LINGER_SHARE * grace)
         await self._timers.sleep(linger - self._timers.now)
         self._caller_server.close()
+        # What has come on open connections is read before they are closed.
+        await self._timers.sleep(LAST_READ_SECONDS)
         self._listener.close_idle()
         while self._timers.now < last and self._open_work():
             await self._timers.sleep(0.02)
@@ -304,7 +310,8 @@
         LOGGER.info("settings read again", extra={"host": kept.host})
 
     def _open_work(self) -> int:
-        return self._listener.unanswered + self._executor.running
+        listener = self._listener
+        return listener.unanswered + listener.unsent + self._executor.running
 
     async def _listen(
         self, address: str, protocol: Callable[[], asyncio.Protocol]
