Faults that random bytes found on callers' connections

Seen failing first, by tests/test_relay_fuzz.py: a deadline of 400 digits raised in the handler, so the request was never answered and its connection stayed for good; bytes after a request to upgrade were answered with a second answer, for which no request waited, or raised after the end was written; closing a connection that the caller had reset raised in the timer that looks at all of them.

Change: deadlines have at most nine digits; an unexpected error of one request is logged, counted and answered with 502 (unknown); an upgrade is not taken up and its connection ends after the one answer; a reset at the end of a connection closes it.

--- a/damaskramp/http/closing.py
+++ b/damaskramp/http/closing.py
@@ -24,5 +24,10 @@
     if not transport.can_write_eof():
         transport.close()
         return
-    transport.write_eof()
+    try:
+        transport.write_eof()
+    except OSError:
+        # The caller has reset the connection; nothing more can be sent.
+        transport.close()
+        return
     asyncio.get_running_loop().call_later(LINGER_SECONDS, transport.close)
--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable
 
@@ -23,6 +24,8 @@
 
 __all__ = ["CallerConnection", "CallerListener"]
 
+LOGGER = logging.getLogger(__name__)
+
 PROBLEM_REASONS = {
     413: Reason.TOO_LARGE,
     431: Reason.TOO_LARGE,
@@ -32,6 +35,9 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+DEADLINE_DIGITS = 9
+"""Digits of the longest deadline in milliseconds, some days; longer ones are cut."""
+
 STALLED_SECONDS = 20.0
 """Time for which a caller may leave an answer unread; several times the longest
 deadline that interactive callers set."""
@@ -208,8 +214,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            # Other protocols are not spoken; the rest of the bytes is not HTTP.
-            self._reject(400)
+            # Other protocols are not spoken; the parser takes no more bytes.
+            self._end_after_answer()
         except httptools.HttpParserError:
             self._reject(400)
         else:
@@ -248,7 +254,8 @@
             request.request_id = value
         elif lower == names.deadline_ms:
             if value.isdigit():
-                request.deadline_ms = int(value)
+                digits = value.lstrip(b"0")[: DEADLINE_DIGITS + 1] or b"0"
+                request.deadline_ms = min(int(digits), 10**DEADLINE_DIGITS)
         elif lower == names.key:
             if request.keyed and value != request.key:
                 request.problem = 400
@@ -395,7 +402,14 @@
             reason = PROBLEM_REASONS.get(request.problem, Reason.BAD_REQUEST)
             request.respond_plain(request.problem, reason, Outcome.NOT_RUN)
             return
-        self._listener.handler.handle(request)
+        try:
+            self._listener.handler.handle(request)
+        except Exception:
+            # One request must not cost the others, nor leave its caller waiting.
+            LOGGER.exception("request failed unexpectedly")
+            self._listener.counters.add("unexpected_errors")
+            request.last = True
+            request.respond_plain(502, Reason.NONE, Outcome.UNKNOWN)
 
     def _take_target(self, request: CallerRequest) -> bool:
         target = request.target
@@ -418,10 +432,18 @@
         request.path = target.partition(b"?")[0].decode("latin-1")
         return True
 
+    def _end_after_answer(self) -> None:
+        """Answer what is on its way, and nothing after it."""
+        if self._current is not None:
+            self._current.last = True
+        elif not self._ended and self._transport is not None:
+            self._ended = True
+            close_lingering(self._transport)
+
     def _reject(self, status: int) -> None:
-        self._listener.counters.add("caller_rejected", reason=str(status))
-        if self._transport is None:
+        if self._transport is None or self._ended:
             return
+        self._listener.counters.add("caller_rejected", reason=str(status))
         if self._current is None:
             request = self._reading or CallerRequest(self)
             self._current, self._reading = request, None
