A request that was refused unrun gives its team's permit back

A team inside its rate was then refused for its rate.

Change: the permit of a request that is told 'not run' within 0.25 s of its admission may be used again, up to the host's part of the burst. What this can add to a window is the rate times 0.25 s.

Tests: any sequence of admissions and returns keeps the bound (hypothesis); a team whose servers are all leaving gets 503 and never 429, seen failing.

--- a/damaskramp/dispatch/shared_rate.py
+++ b/damaskramp/dispatch/shared_rate.py
@@ -49,6 +49,10 @@
         Time for which permits that were saved under a larger burst may still be used.
         A lower rate binds at once, a lower burst after this time, which is less than
         the platform allows for bringing a configuration into force.
+    unused_seconds : float
+        Time after it was taken within which the permit of a request that has not run
+        may be used again. What was taken before a window of the rate and comes back in
+        it may be used in it twice, so this is a small part of such windows.
     lenders : LenderSettings
         Whom a host asks that has no permits left.
     """
@@ -59,6 +63,7 @@
     lend_share: float = 0.5
     demand_seconds: float = 1.0
     saved_seconds: float = 1.5
+    unused_seconds: float = 0.25
     lenders: LenderSettings = field(default_factory=LenderSettings)
 
 
@@ -166,6 +171,12 @@
         self._level -= 1.0
         return True
 
+    def unused(self, taken_at: float, now: float) -> None:
+        """Take back the permit of a request that has not run and never will."""
+        if now - taken_at <= self._settings.unused_seconds:
+            most = max(self._burst, self._level, 1.0)
+            self._level = min(most, self._level + 1.0)
+
     def lend(self, least: float, most: float, now: float) -> float:
         """Give permits away; return how many, perhaps less than `least`.
 
--- a/damaskramp/dispatch/tests/test_shared_rate.py
+++ b/damaskramp/dispatch/tests/test_shared_rate.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from damaskramp.dispatch import SharedRateSettings, TeamRates
+from damaskramp.dispatch import SharedRate, SharedRateSettings, TeamRates
 from damaskramp.fleet import Team
 
 HOSTS = [(f"h{n}", f"z{n % 3}") for n in range(6)]
@@ -174,3 +174,50 @@
         keepers = fleet(few)["h0"].keepers("few")
         self.assertEqual({"z0", "z1", "z2"}, {dict(HOSTS)[host] for host in keepers})
         self.assertEqual(3, len(keepers))
+
+
+class TestUnusedPermits(TestCase):
+    """Requests that are admitted and then refused unrun."""
+
+    STEP = st.tuples(
+        st.floats(0.0, 0.3),
+        st.integers(1, 30),
+        st.floats(0.0, 0.4),
+        st.booleans(),
+    )
+
+    @given(st.lists(STEP, max_size=60))
+    def test_no_window_holds_more_runs_than_allowed(self, steps):
+        settings = SharedRateSettings()
+        rate = SharedRate(settings, TEAM, 1.0, 0.0)
+        now, runs, back = 0.0, [], []
+        for pause, requests, held, refused in steps:
+            now += pause
+            for at, taken in [pair for pair in back if pair[0] <= now]:
+                rate.unused(taken, at)
+            back = [pair for pair in back if pair[0] > now]
+            for _ in range(requests):
+                if not rate.take(now):
+                    break
+                if refused:
+                    back.append((now + held, now))
+                else:
+                    runs.append(now)
+        for end in runs:
+            window = sum(end - 5.0 < at <= end for at in runs)
+            allowed = 5.0 * TEAM.rate + TEAM.burst
+            allowed += settings.unused_seconds * TEAM.rate
+            self.assertLessEqual(window, allowed + 1.0)
+
+    def test_what_was_refused_unrun_can_be_asked_for_again(self):
+        rate = SharedRate(SharedRateSettings(), TEAM, 1.0, 0.0)
+        for _ in range(100):
+            self.assertTrue(rate.take(0.0))
+            rate.unused(0.0, 0.01)
+
+    def test_old_permits_are_not_used_again(self):
+        rate = SharedRate(SharedRateSettings(), TEAM, 1.0, 0.0)
+        while rate.take(0.0):
+            pass
+        rate.unused(0.0, 0.26)
+        self.assertLess(rate.level, 1.0)
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -96,6 +96,7 @@
         "_holder",
         "_loop_timer",
         "_outgoing",
+        "_permit_at",
         "_ready",
         "_request",
         "_service",
@@ -116,6 +117,7 @@
         self._ready: tuple[int, bytes, bytes] | None = None
         self._loop_timer: asyncio.TimerHandle | None = None
         self._outgoing: OutgoingRequest | None = None
+        self._permit_at: float | None = None
         self._deadline = 0.0
         self._target = 0.0
 
@@ -175,6 +177,8 @@
         forwarder, request = self._forwarder, self._request
         self._service = self._entry.next_service()
         now, inherited = forwarder.clock(), 0.0
+        if self._holder is not None:
+            self._permit_at = now
         if self._is_call:
             inherited = forwarder.executor.repeat_share
             forwarder.depths.called(self._service, now)
@@ -435,6 +439,8 @@
 
     def _finish(self, reason: Reason, outcome: Outcome, retry_after: float) -> None:
         self._end()
+        if outcome is Outcome.NOT_RUN and self._permit_at is not None:
+            self._forwarder.permits.unused(self._holder.team, self._permit_at)
         self._forwarder.counters.add("refused", reason=reason.value)
         if self._forwarder.log.wants_line():
             self._log("request refused", reason=reason.value, outcome=outcome.value)
--- a/damaskramp/relay/permits.py
+++ b/damaskramp/relay/permits.py
@@ -68,6 +68,18 @@
             self._counters.add("permits", reason="refused")
             done(False)
 
+    def unused(self, team: Team, taken_at: float) -> None:
+        """Take back the permit of a request that has not run.
+
+        Parameters
+        ----------
+        taken_at : float
+            Time of the clock at which the request was admitted.
+        """
+        rate = self._rates.find(team.name)
+        if rate is not None:
+            rate.unused(taken_at, self._timers.now)
+
     def level(self, team: Team) -> float | None:
         """Permits in hand of a team; None where it has no limit."""
         rate = self._rates.find(team.name)
--- a/tests/test_relay_rates.py
+++ b/tests/test_relay_rates.py
@@ -43,3 +43,13 @@
         served, took = self.play(flood, self.SERVICES, rated())
         self.assertLessEqual(served, RATE + RATE * took + 1)
         self.assertGreater(served, RATE * 0.75)
+
+    def test_requests_refused_unrun_cost_the_team_nothing(self):
+        async def flood(fleet):
+            for n in range(4):
+                fleet.list_server(n, state="draining")
+            beliefs = fleet.nodes[0]._beliefs
+            await fleet.until(lambda: all(s.leaving for s in beliefs.directory.servers))
+            return {(await fleet.ask("/a"))[0] for _ in range(3 * RATE)}
+
+        self.assertEqual({503}, self.play(flood, self.SERVICES, rated()))
