A restarted node takes back no server that had left

Cause: a process that has just started has no markers of deletions.

Change: a description that is no newer than the revision up to which the view is complete, of a server that is not listed, is passed over; what the store itself lists is taken.

--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -131,6 +131,25 @@
             Revision up to which the sender's view, together with this one, is
             complete.
         """
+        return self._merge(
+            (server for server in servers if not self._has_gone(server)),
+            removed,
+            complete_to,
+        )
+
+    def _has_gone(self, server: BackendServer) -> bool:
+        """Whether a description is one that this view is known to lack rightly.
+
+        A process that has just started has no markers of what was deleted before.
+        """
+        return server.id not in self._servers and server.revision <= self._revision
+
+    def _merge(
+        self,
+        servers: Iterable[BackendServer],
+        removed: Iterable[tuple[ServerId, Revision]],
+        complete_to: Revision | None,
+    ) -> bool:
         changed = False
         for server in servers:
             changed |= self._put(server)
@@ -156,7 +175,8 @@
             for name, server in self._servers.items()
             if name not in listed and server.revision <= revision
         ]
-        return self.merge(servers, lost, revision)
+        # What the store lists is there, whatever peers have told.
+        return self._merge(servers, lost, revision)
 
     def _put(self, server: BackendServer) -> bool:
         known = self._servers.get(server.id)
--- a/damaskramp/fleet/tests/test_directory.py
+++ b/damaskramp/fleet/tests/test_directory.py
@@ -51,6 +51,17 @@
         directory.replace((), 5)
         self.assertEqual(["new"], [s.id for s in directory.servers])
 
+    def test_old_description_of_what_a_snapshot_lacks_is_not_taken(self):
+        """A process that has just started has no marker of the deletion."""
+        directory = Directory(Clock())
+        directory.replace((server("here", 5),), 9)
+        directory.merge([server("left", 4), server("here", 4), server("new", 10)])
+        self.assertEqual({"here", "new"}, {s.id for s in directory.servers})
+        self.assertEqual(5, directory.servers[0].revision)
+        # What the store itself lists is there.
+        directory.replace((server("here", 5), server("left", 4)), 9)
+        self.assertTrue(directory.is_listed("left"))
+
     def test_latest_lifetime_at_an_address_counts(self):
         directory = Directory(Clock())
         directory.merge([server("a", 5, started=1), server("b", 4, started=2)])
