Requests that wait on a connection are answered before a stop closes it

Cause: from the moment at which a node leaves, each answer was the last of its connection, also where further requests had been read on it. Test seen failing.

--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -267,7 +267,8 @@
             return
         self._current = None
         self._release_body(request)
-        last = request.last or self._listener.closing
+        # Requests that have been read already get their answers first.
+        last = request.last or (self._listener.closing and not self._waiting)
         if last:
             head += b"Connection: close\r\n"
         if request.method == b"HEAD":
--- a/tests/test_relay_stops.py
+++ b/tests/test_relay_stops.py
@@ -110,3 +110,23 @@
 
         got = self.play(scenario, ("svc", "svc"))
         self.assertEqual((0, True, True), got)
+
+    def test_requests_that_wait_on_a_connection_are_answered_first(self):
+        async def scenario(fleet):
+            stopping = asyncio.ensure_future(fleet.nodes[0].stop())
+            listener = fleet.nodes[0]._listener
+            await fleet.until(lambda: listener.closing)
+            reader, writer = await fleet.connect()
+            for n in range(3):
+                writer.write(
+                    b"GET /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q%d\r\n"
+                    b"Authorization: Token key-1\r\n\r\n" % n
+                )
+            answers = [await read_answer(reader) for _ in range(3)]
+            writer.close()
+            await stopping
+            told = [field(head, "connection") for _, head, _ in answers]
+            return [status for status, *_ in answers], told
+
+        got = self.play(scenario, ("svc", "svc"))
+        self.assertEqual(([200] * 3, [None, None, "close"]), got)
