--- a/damaskramp/platform/decode.py
+++ b/damaskramp/platform/decode.py
@@ -43,6 +43,12 @@
 """Seconds that a caller waits on a route whose timeout can't be read, unless it sets a
 shorter deadline itself."""
 
+COUNT = whole_number(1)
+"""Reader of numbers of things, of which there is one at least."""
+
+RANK = whole_number(0)
+"""Reader of priorities; 0 is the highest."""
+
 NO_SERVICE = ServiceName("")
 """Stands for a service that can't be read; no backend server belongs to it."""
 
@@ -75,7 +81,7 @@
         service=ServiceName(read("service", text)),
         address=read("address", _address),
         zone=ZoneName(read("zone", text)),
-        slots=read("slots", whole_number(1)),
+        slots=read("slots", COUNT),
         leaving=read("state", _is_leaving),
         # How much longer the server is slow, as of this report.
         warmup=read("warmup-left", seconds, "0ms"),
@@ -115,16 +121,13 @@
     """Routes; None for each one whose requests can't be told."""
     if not table.is_table:
         return [None]
-    fields = {name: table.table(name) for name in table.names()}
-    priority = whole_number(0)
-    ranks = [f.raw("priority") for f in fields.values()]
+    routes = {name: table.table(name) for name in table.names()}
+    ranks = [fields.raw("priority") for fields in routes.values()]
     last = max((rank for rank in ranks if type(rank) is int), default=0)
-    return [_route(name, route, priority, last) for name, route in fields.items()]
+    return [_route(name, fields, last) for name, fields in routes.items()]
 
 
-def _route(
-    name: str, fields: Fields, priority: Any, last_priority: int
-) -> Route | None:
+def _route(name: str, fields: Fields, last_rank: int) -> Route | None:
     host = fields.needed("host", text)
     prefix = fields.needed("path-prefix", _prefix)
     if host is None or prefix is None:
@@ -140,8 +143,8 @@
         timeout=timeout,
         latency_target=fields.value("target-latency", seconds, timeout),
         # Counts backend servers, not sends.
-        attempts=fields.value("max-attempts", whole_number(1), 1),
-        priority=fields.value("priority", priority, last_priority),
+        attempts=fields.value("max-attempts", COUNT, 1),
+        priority=fields.value("priority", RANK, last_rank),
         public=fields.value("public", _flag, False),
         usable=targets is not None,
     )
@@ -201,11 +204,10 @@
         # Over all hosts together.
         found = fields.needed("rate-per-s", number)
         usable, rate = found is not None, found or 0.0
-    priority = fields.value("priority", whole_number(0), -1)
     return Team(
         name=TeamId(name),
         keys=keys,
-        priority=priority if priority >= 0 else None,
+        priority=fields.value("priority", RANK, None),
         rate=rate,
         burst=fields.value("burst", number, 0.0),
         usable=usable,
@@ -232,7 +234,7 @@
 def _max_connections(services: Fields) -> dict[ServiceName, int]:
     found = {}
     for name in services.names():
-        most = services.table(name).value("max-connections", whole_number(1), 0)
+        most = services.table(name).value("max-connections", COUNT, 0)
         if most:
             found[ServiceName(name)] = most
     return found
@@ -240,10 +242,9 @@
 
 def _limits(fields: Fields) -> CallerLimits:
     default = CallerLimits()
-    size = whole_number(1)
     return CallerLimits(
-        header_bytes=fields.value("max-header-bytes", size, default.header_bytes),
-        body_bytes=fields.value("max-body-bytes", size, default.body_bytes),
+        header_bytes=fields.value("max-header-bytes", COUNT, default.header_bytes),
+        body_bytes=fields.value("max-body-bytes", COUNT, default.body_bytes),
         header_timeout=fields.value("header-timeout", seconds, default.header_timeout),
         idle_timeout=fields.value("idle-timeout", seconds, default.idle_timeout),
     )
