--- a/damaskramp/core/byte_budget.py
+++ b/damaskramp/core/byte_budget.py
@@ -5,6 +5,8 @@
 >>> budget = ByteBudget(10)
 >>> budget.take(8), budget.take(8)
 (True, False)
+>>> budget.take(0)
+True
 >>> budget.give(8)
 >>> budget.used
 0
@@ -42,7 +44,7 @@
 
     def take(self, size: int) -> bool:
         """Count bytes in, unless the limit would be passed."""
-        if self._used + size > self._limit:
+        if size and self._used + size > self._limit:
             return False
         self._used += size
         return True
--- a/tests/test_relay_uploads.py
+++ b/tests/test_relay_uploads.py
@@ -194,6 +194,17 @@
         finally:
             gc.enable()
 
+    def test_calls_without_a_body_need_no_room(self):
+        """Also while one body alone takes more than there is."""
+
+        async def scenario(fleet):
+            memory = fleet.nodes[0]._executor._memory
+            memory.resize(1000)
+            memory.force(5000)
+            return (await fleet.ask("/a"))[0]
+
+        self.assertEqual(200, self.play(scenario))
+
     def test_upload_is_sent_once_whatever_becomes_of_it(self):
         async def scenario(fleet):
             got = await fleet.ask("/a", method="POST", body=b"x" * MIB)
