--- /dev/null
+++ b/tests/test_relay_resets.py
@@ -0,0 +1,162 @@
+"""Connections that are reset in the middle of a non-idempotent request.
+
+At each point of the path: what the caller is told is true, and nothing runs twice.
+"""
+
+import asyncio
+
+from tests.relay_fleet import CLUBS, RelayTestCase, configuration, ok, route
+
+FAR = configuration(1, [route("far", "/", kind="non_idempotent")], CLUBS)
+SERVICES = ("svc", "far", "far")
+"""The node that callers ask has another service; two servers could run the request."""
+
+
+async def slow(request):
+    await asyncio.sleep(0.4)
+    return ok(request)
+
+
+class TestCallerResets(RelayTestCase):
+    async def leave(self, fleet, when):
+        """Send a request, leave once `when` holds, and return the servers' runs."""
+        _, writer = await fleet.connect()
+        writer.write(
+            b"POST /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q1\r\n"
+            b"Authorization: Token key-1\r\nContent-Length: 5\r\n\r\nhello"
+        )
+        await fleet.until(when)
+        writer.transport.abort()
+        await asyncio.sleep(0.2)
+        return sum(len(server.seen) for server in fleet.servers[:3])
+
+    def test_before_the_request_is_whole(self):
+        async def scenario(fleet):
+            _, writer = await fleet.connect()
+            writer.write(
+                b"POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n"
+            )
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+            await asyncio.sleep(0.1)
+            return sum(len(server.seen) for server in fleet.servers[:3])
+
+        self.assertEqual(0, self.play(scenario, SERVICES, FAR))
+
+    def test_while_it_waits_for_a_slot(self):
+        async def scenario(fleet):
+            for n in (1, 2):
+                fleet.list_server(n, slots=1)
+            executors = [node._executor for node in fleet.nodes[1:]]
+            for node in fleet.nodes:
+                await fleet.until(
+                    lambda b=node._beliefs: (
+                        {s.slots for s in b.directory.servers} == {1, 8}
+                    )
+                )
+            busy = [
+                asyncio.ensure_future(
+                    fleet.ask("/a", method="POST", request_id=f"b{n}")
+                )
+                for n in range(2)
+            ]
+            await fleet.until(lambda: sum(e.load.running for e in executors) == 2)
+            waits = lambda: any(e.load.waiting for e in executors)  # noqa: E731
+            runs = await self.leave(fleet, waits)
+            await asyncio.gather(*busy)
+            await asyncio.sleep(0.3)
+            later = sum(len(server.seen) for server in fleet.servers[:3])
+            return runs, later, [e.running for e in executors]
+
+        scripts = [None, slow, slow]
+        got = self.play(scenario, SERVICES, FAR, scripts=scripts)
+        self.assertEqual((2, 2, [0, 0]), got)
+
+    def test_while_it_runs(self):
+        async def scenario(fleet):
+            def running():
+                return any(server.seen for server in fleet.servers[1:3])
+
+            runs = await self.leave(fleet, running)
+            await asyncio.sleep(0.1)
+            return runs, sum(server.dropped for server in fleet.servers[1:3])
+
+        scripts = [None, slow, slow]
+        self.assertEqual((1, 1), self.play(scenario, SERVICES, FAR, scripts=scripts))
+
+
+class TestLinkResets(RelayTestCase):
+    def test_while_it_runs(self):
+        async def scenario(fleet):
+            asked = asyncio.ensure_future(fleet.ask("/a", method="POST"))
+            servers = fleet.servers[1:3]
+            await fleet.until(lambda: any(server.seen for server in servers))
+            for node in fleet.nodes[1:]:
+                node._links.abort()
+            got = await asked
+            await asyncio.sleep(0.6)
+            return got[0], b"unknown" in got[2], sum(len(s.seen) for s in servers)
+
+        scripts = [None, slow, slow]
+        got = self.play(scenario, SERVICES, FAR, scripts=scripts)
+        self.assertEqual((502, True, 1), got)
+
+    def test_while_it_waits_for_a_slot(self):
+        """Whether it ran is not known to the caller's node; it must not run later."""
+
+        async def scenario(fleet):
+            executor = fleet.nodes[1]._executor
+            fleet.list_server(1, slots=1)
+            await fleet.until(lambda: fleet.nodes[1]._beliefs.own_slots == 1)
+            busy = asyncio.ensure_future(
+                fleet.ask("/a", method="POST", request_id="b1")
+            )
+            await fleet.until(lambda: executor.load.running == 1)
+            asked = asyncio.ensure_future(fleet.ask("/a", method="POST"))
+            await fleet.until(lambda: executor.load.waiting == 1)
+            fleet.nodes[1]._links.abort()
+            got = await asked
+            await busy
+            await asyncio.sleep(0.6)
+            ran = sum(b"q1" in request for request in fleet.servers[1].seen)
+            return got[0], b"not-run" in got[2], ran
+
+        scripts = [None, slow]
+        got = self.play(scenario, ("svc", "far"), FAR, scripts=scripts)
+        self.assertEqual((502, False, 0), got)
+
+    def test_server_resets_while_it_runs(self):
+        async def scenario(fleet):
+            got = await fleet.ask("/a", method="POST")
+            servers = fleet.servers[1:3]
+            return got[0], b"unknown" in got[2], sum(len(s.seen) for s in servers)
+
+        scripts = [None, lambda request: None, lambda request: None]
+        got = self.play(scenario, SERVICES, FAR, scripts=scripts)
+        self.assertEqual((502, True, 1), got)
+
+    def test_caller_that_comes_back_by_another_zone(self):
+        """It waits for nothing that its former node holds."""
+
+        async def scenario(fleet):
+            limited = {"clubs": {**CLUBS["clubs"], "rate-per-s": 40, "burst": 40}}
+            fleet.store.put(
+                "op/config",
+                configuration(2, [route("far", "/", kind="non_idempotent")], limited),
+            )
+            for node in fleet.nodes:
+                await fleet.until(lambda b=node._beliefs: b.version == 2)
+            first = [
+                (await fleet.ask("/a", method="POST", request_id=f"a{n}"))[0]
+                for n in range(8)
+            ]
+            _, writer = await fleet.connect(0)
+            writer.write(b"POST /a HTTP/1.1\r\nHost: a.example\r\n")
+            writer.transport.abort()
+            moved = [
+                (await fleet.ask("/a", n=1, method="POST", request_id=f"m{n}"))[0]
+                for n in range(8)
+            ]
+            return set(first), set(moved)
+
+        self.assertEqual(({200}, {200}), self.play(scenario, SERVICES, FAR))
