A call that comes with its cancellation is not run

A link that was held up brought the call and its cancellation together; the run was started, then cut. Sending on after silence doubles such calls.

Change: the calls of one reading of a link are taken after it, without those cancelled in it.

--- a/damaskramp/relay/incoming_link.py
+++ b/damaskramp/relay/incoming_link.py
@@ -59,6 +59,7 @@
         super().__init__()
         self._service = service
         self._cancels: dict[int, Cancel] = {}
+        self._arrived: dict[int, Call] = {}
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Note the link."""
@@ -69,6 +70,7 @@
         """Cancel the calls of a node that can't take their answers."""
         self._transport = None
         self._service.links.discard(self)
+        self._arrived.clear()
         for cancel in list(self._cancels.values()):
             cancel()
         self._cancels.clear()
@@ -77,15 +79,16 @@
         """Take one message."""
         kind = message[0]
         if kind == Kind.CALL:
+            # A link that was held up brings a call with its cancellation behind it.
+            if not self._arrived:
+                asyncio.get_running_loop().call_soon(self._take_calls)
             call = Call(*message[1:])
-            reply = _RemoteReply(self, call.number)
-            cancel = self._service.executor.submit(call, reply)
-            if not reply.done:
-                self._cancels[call.number] = cancel
+            self._arrived[call.number] = call
         elif kind == Kind.CANCEL:
-            cancel = self._cancels.pop(message[1], None)
-            if cancel is not None:
-                cancel()
+            if self._arrived.pop(message[1], None) is None:
+                cancel = self._cancels.pop(message[1], None)
+                if cancel is not None:
+                    cancel()
         elif kind == Kind.PING:
             self.send((Kind.PONG, *self._service.pong(message)))
         elif kind == Kind.NEWS:
@@ -96,6 +99,15 @@
         elif kind == Kind.GIVE_BACK:
             self._service.take_back(message[1], message[2])
 
+    def _take_calls(self) -> None:
+        """Have the calls of one reading run that were not cancelled within it."""
+        arrived, self._arrived = self._arrived, {}
+        for number, call in arrived.items():
+            reply = _RemoteReply(self, number)
+            cancel = self._service.executor.submit(call, reply)
+            if not reply.done:
+                self._cancels[number] = cancel
+
     def abort(self) -> None:
         """Break the link off."""
         if self._transport is not None:
--- a/tests/test_relay_resets.py
+++ b/tests/test_relay_resets.py
@@ -5,7 +5,10 @@
 
 import asyncio
 
-from tests.relay_fleet import CLUBS, RelayTestCase, configuration, ok, route
+import msgpack
+
+from damaskramp.relay.messages import Call, Kind
+from tests.relay_fleet import CLUBS, RelayTestCase, configuration, field, ok, route
 
 FAR = configuration(1, [route("far", "/", kind="non_idempotent")], CLUBS)
 SERVICES = ("svc", "far", "far")
@@ -85,6 +88,34 @@
         self.assertEqual((1, 1), self.play(scenario, SERVICES, FAR, scripts=scripts))
 
 
+class TestHeldUpLinks(RelayTestCase):
+    def test_call_that_comes_with_its_cancellation_does_not_run(self):
+        """As where a cut holds a link up until after the caller has left."""
+
+        async def scenario(fleet):
+            # Its connection is kept, so that a call would be sent at once.
+            await fleet.ask("/a", request_id="w")
+            calls = []
+            for number in (1, 2):
+                head = (
+                    b"POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n"
+                    b"X-Request-Id: q%d\r\nX-Expected-Instance: i-0\r\n" % number
+                )
+                call = Call(
+                    number, "i-0", b"q%d" % number, head, b"x", False, False, 2.0, 1.0,
+                    0, False, "r-0", b"", 0, 0.0, False,
+                )  # fmt: skip
+                calls.append(msgpack.packb([Kind.CALL, *call]))
+            _, writer = await asyncio.open_connection(fleet.host(0), 8102)
+            writer.write(calls[0] + calls[1] + msgpack.packb([Kind.CANCEL, 1]))
+            await fleet.until(lambda: len(fleet.servers[0].seen) > 1)
+            await asyncio.sleep(0.1)
+            writer.close()
+            return [field(one, "x-request-id") for one in fleet.servers[0].seen]
+
+        self.assertEqual(["w", "q2"], self.play(scenario))
+
+
 class TestLinkResets(RelayTestCase):
     def test_while_it_runs(self):
         async def scenario(fleet):
