Numbers and addresses without end are not taken

Cause: versions and ports of thousands of digits raise in their conversion, which is no DecodeError, so that one such entry kept a reader reading anew; durations of as many are infinite. A peer that introduced itself by a number had its link tried for ever.

Change and tests: bounds on digits and durations, addresses of peers are checked; seen failing.

--- a/damaskramp/platform/decode.py
+++ b/damaskramp/platform/decode.py
@@ -23,6 +23,7 @@
 from damaskramp.platform.fields import (
     DecodeError,
     Fields,
+    digits,
     number,
     read_object,
     seconds,
@@ -49,6 +50,8 @@
 RANK = whole_number(0)
 """Reader of priorities; 0 is the highest."""
 
+LAST_PORT = 65535
+
 NO_SERVICE = ServiceName("")
 """Stands for a service that can't be read; no backend server belongs to it."""
 
@@ -257,7 +260,7 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         raise DecodeError(f"{address!r} is not IP:PORT") from None
-    if not port.isascii() or not port.isdigit() or int(port) > 65535:
+    if digits(port) > LAST_PORT:
         raise DecodeError(f"{address!r} has no port")
     return address
 
@@ -283,8 +286,9 @@
 
 def _version(value: object) -> BundleVersion:
     # "r" followed by the number that versions compare by.
-    if isinstance(value, str) and value.startswith("r"):
-        digits = value[1:]
-        if digits.isascii() and digits.isdigit():
-            return BundleVersion(int(digits))
-    raise DecodeError(f"version: {value!r} is not r and a number")
+    if not isinstance(value, str) or not value.startswith("r"):
+        raise DecodeError(f"version: {value!r} is not r and a number")
+    try:
+        return BundleVersion(digits(value[1:]))
+    except DecodeError as error:
+        raise DecodeError(f"version: {error}") from error
--- a/damaskramp/platform/fields.py
+++ b/damaskramp/platform/fields.py
@@ -14,6 +14,7 @@
 __all__ = [
     "DecodeError",
     "Fields",
+    "digits",
     "number",
     "read_object",
     "seconds",
@@ -24,6 +25,12 @@
 SOURCE = "configuration"
 """Name of the published document in findings."""
 
+LONGEST_SECONDS = 86_400.0
+"""Longest duration that is taken; timers can't wait for an endless one."""
+
+LONGEST_NUMBER = 18
+"""Digits of the longest number in a text; such numbers fit 64 bits."""
+
 Value = TypeVar("Value")
 
 
@@ -154,4 +161,13 @@
     found = parse_seconds(value)
     if found is None:
         raise DecodeError(f"{value!r} is not a time in ms or s")
+    if found > LONGEST_SECONDS:
+        raise DecodeError(f"{value!r} is longer than {LONGEST_SECONDS:.0f} s")
     return found
+
+
+def digits(value: str) -> int:
+    """Whole number of a text that holds digits only."""
+    if not value.isascii() or not value.isdigit() or len(value) > LONGEST_NUMBER:
+        raise DecodeError(f"{value[:80]!r} is not a number")
+    return int(value)
--- a/damaskramp/platform/tests/test_decode.py
+++ b/damaskramp/platform/tests/test_decode.py
@@ -145,6 +145,17 @@
                 self.assertEqual(["r-1"], [route.name for route in config.routes])
                 self.assertFalse(config.routes_complete)
 
+    def test_durations_and_ports_without_end_are_not_taken(self):
+        """Such digits raise in conversions, and timers can't wait for ever."""
+        endless = "9" * 5000
+        route = read(routes={"r-1": {**ROUTE, "timeout": endless + "s"}}).routes[0]
+        self.assertEqual(5.0, route.timeout)
+        limits = read(limits={"header-timeout": endless + "ms"}).limits
+        self.assertLess(limits.header_timeout, 60)
+        for address in (f"10.0.0.1:{endless}", "10.0.0.1:65536", "10.0.0.1:²"):
+            entry = orjson.dumps({**ENTRY, "address": address})
+            self.assertRaises(DecodeError, decode_server, "i", entry, 1)
+
     def test_what_bounds_a_route_falls_back_to_the_safest(self):
         broken = {**ROUTE, "max-attempts": "2", "priority": None, "public": 1}
         broken |= {"timeout": 5, "target-latency": []}
@@ -187,7 +198,7 @@
                 self.assertEqual([section], [f.place.key for f in config.findings])
 
     def test_document_without_version_is_an_error(self):
-        for version in (None, 12, "12", "r", "r-1", "r²", ["r1"]):
+        for version in (None, 12, "12", "r", "r-1", "r²", ["r1"], "r" + "9" * 5000):
             with self.subTest(version):
                 self.assertRaises(DecodeError, read, version=version)
 
--- a/damaskramp/relay/messages.py
+++ b/damaskramp/relay/messages.py
@@ -3,6 +3,7 @@
 msgpack delimits its values itself, so a stream of them needs no frames of its own.
 """
 
+import ipaddress
 import zlib
 from enum import IntEnum
 from typing import NamedTuple
@@ -16,6 +17,7 @@
     "REASON_CODES",
     "Call",
     "Kind",
+    "check_host",
     "pack_document",
     "pack_server",
     "unpack_document",
@@ -147,6 +149,19 @@
     )
 
 
+def check_host(host: object) -> None:
+    """Check the address by which a peer introduces itself.
+
+    Raises
+    ------
+    ValueError
+        If it is no IP address.
+    """
+    if not isinstance(host, str):
+        raise ValueError(f"{host!r} is not an address")
+    ipaddress.ip_address(host)
+
+
 def unpack_removals(elements: list) -> list[tuple[ServerId, Revision]]:
     """Deleted descriptions with their revisions.
 
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -24,6 +24,7 @@
 from damaskramp.relay.messages import (
     Call,
     Kind,
+    check_host,
     pack_document,
     pack_server,
     unpack_document,
@@ -311,7 +312,9 @@
                 LOGGER.info("link to node regained", extra={"host": host})
 
     def _note_peer(self, host: str, leaving: bool) -> None:
-        self._introduced.add(host)
+        if host not in self._introduced:
+            check_host(host)
+            self._introduced.add(host)
         if leaving:
             self._leaving[host] = self._clock() + LEAVING_SECONDS
         else:
--- a/tests/test_relay_configuration.py
+++ b/tests/test_relay_configuration.py
@@ -152,6 +152,7 @@
             before = beliefs.freshness._proved_at
             await fleet.until(lambda: beliefs.freshness._proved_at > before)
             listed = [server.id for server in beliefs.directory.servers]
-            return listed, beliefs.version
+            peers = fleet.nodes[0]._peers._introduced
+            return listed, beliefs.version, {type(host) for host in peers} - {str}
 
-        self.assertEqual((["i-0"], 1), self.play(scenario))
+        self.assertEqual((["i-0"], 1, set()), self.play(scenario))
