--- a/tests/test_relay_resets.py
+++ b/tests/test_relay_resets.py
@@ -22,6 +22,33 @@
     return ok(request)
 
 
+def call_frame(number):
+    """Frame of a call for the first host, with the request id q and its number."""
+    head = (
+        b"POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n"
+        b"X-Request-Id: q%d\r\nX-Expected-Instance: i-0\r\n" % number
+    )
+    call = Call(
+        number=number,
+        server="i-0",
+        request_id=b"q%d" % number,
+        head=head,
+        body=b"x",
+        head_only=False,
+        idempotent=False,
+        remaining=2.0,
+        target=1.0,
+        priority=0,
+        is_call=False,
+        route="r-0",
+        key_digest=b"",
+        fingerprint=0,
+        repeat_share=0.0,
+        eager=False,
+    )
+    return msgpack.packb([Kind.CALL, *call])
+
+
 class TestCallerResets(RelayTestCase):
     async def leave(self, fleet, when):
         """Send a request, leave once `when` holds, and return the servers' runs."""
@@ -97,19 +124,10 @@
         async def scenario(fleet):
             # Its connection is kept, so that a call would be sent at once.
             await fleet.ask("/a", request_id="w")
-            calls = []
-            for number in (1, 2):
-                head = (
-                    b"POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n"
-                    b"X-Request-Id: q%d\r\nX-Expected-Instance: i-0\r\n" % number
-                )
-                call = Call(
-                    number, "i-0", b"q%d" % number, head, b"x", False, False, 2.0, 1.0,
-                    0, False, "r-0", b"", 0, 0.0, False,
-                )  # fmt: skip
-                calls.append(msgpack.packb([Kind.CALL, *call]))
             _, writer = await asyncio.open_connection(fleet.host(0), 8102)
-            writer.write(calls[0] + calls[1] + msgpack.packb([Kind.CANCEL, 1]))
+            writer.write(
+                call_frame(1) + call_frame(2) + msgpack.packb([Kind.CANCEL, 1])
+            )
             await fleet.until(lambda: len(fleet.servers[0].seen) > 1)
             await asyncio.sleep(0.1)
             writer.close()
@@ -124,14 +142,8 @@
             await fleet.ask("/a", request_id="w")
             link = IncomingLink(fleet.nodes[0]._links)
             link.connection_made(mock.Mock())
-            head = b"POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n"
-            head += b"X-Request-Id: q1\r\nX-Expected-Instance: i-0\r\n"
-            call = Call(
-                1, "i-0", b"q1", head, b"x", False, False, 2.0, 1.0,
-                0, False, "r-0", b"", 0, 0.0, False,
-            )  # fmt: skip
             # One reading of the loop brings the bytes and the end.
-            link.data_received(msgpack.packb([Kind.CALL, *call]))
+            link.data_received(call_frame(1))
             link.eof_received()
             await asyncio.sleep(0.1)
             link.connection_lost(None)
--- a/tests/test_relay_restarts.py
+++ b/tests/test_relay_restarts.py
@@ -35,9 +35,12 @@
             await asyncio.sleep(0.02)
         return withdrawn, kept, len(fleet.servers[2].seen) - seen
 
-    def test_with_the_store(self):
+    def check_restart(self, refusal):
+        """Restart a node while the store answers with a status; 0 for its answers."""
+
         async def scenario(fleet):
             await self.withdraw(fleet)
+            fleet.store.refusal = refusal
             await fleet.nodes[0].abort()
             await fleet.start_node(0)
             return await self.ask_for_a_while(fleet, 0)
@@ -47,19 +50,12 @@
         self.assertIn(200, kept)
         self.assertEqual(0, runs)
 
-    def test_while_the_store_refuses_all(self):
-        async def scenario(fleet):
-            await self.withdraw(fleet)
-            fleet.store.refusal = 503
-            await fleet.nodes[0].abort()
-            await fleet.start_node(0)
-            return await self.ask_for_a_while(fleet, 0)
+    def test_with_the_store(self):
+        self.check_restart(refusal=0)
 
-        withdrawn, kept, runs = self.play(scenario, self.SERVICES)
-        # It learns from its peers, which hand on what has left as well.
-        self.assertNotIn(200, withdrawn)
-        self.assertIn(200, kept)
-        self.assertEqual(0, runs)
+    def test_while_the_store_refuses_all(self):
+        """The node learns from its peers, which hand on what has left as well."""
+        self.check_restart(refusal=503)
 
     def test_peer_that_missed_the_news_does_not_bring_it_back(self):
         """What a node still believes that was cut off meanwhile."""
