Close streams before their loop ends

Open streams were left by the store client of relay nodes, by callers of the relay fleet in tests, and by handlers of test servers that were cancelled before they closed their writer.

Change: sources of a fleet have close(), which a node calls when it stops; test fleets close their callers; handlers close their writer however they end. The filter is as it was.

--- a/damaskramp/fleet/sources.py
+++ b/damaskramp/fleet/sources.py
@@ -103,3 +103,7 @@
         SourceError
             If the document can't be read.
         """
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connections to the source."""
--- a/damaskramp/platform/store.py
+++ b/damaskramp/platform/store.py
@@ -134,6 +134,10 @@
         except DecodeError as error:
             raise SourceError(str(error)) from error
 
+    def close(self) -> None:
+        """Close the idle connections; those of running calls end with the calls."""
+        self._client.close()
+
     async def _fetch_configuration(self) -> tuple[FleetConfiguration | None, str]:
         query = {"key": CONFIGURATION_KEY}
         item = await self._call(
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -150,6 +150,7 @@
         names = ReservedNames(header_names)
         host = settings.peers.rpartition(":")[0]
         key_max_age = _key_max_age(settings)
+        self._source = source
         self._fleet_view = FleetView(
             host,
             ZoneName(settings.zone),
@@ -284,6 +285,7 @@
         LOGGER.info("node stopped", extra={"cut": cut})
         for task in self._tasks:
             task.cancel()
+        self._source.close()
         return not cut
 
     async def abort(self) -> None:
@@ -299,6 +301,7 @@
         self._peers.close()
         self._executor.close()
         await asyncio.sleep(0)
+        self._source.close()
 
     def reload(self, settings: RelaySettings) -> None:
         """Apply the settings that may change while the node runs: bounds and times.
--- a/damaskramp/relay/tests/test_watcher.py
+++ b/damaskramp/relay/tests/test_watcher.py
@@ -79,6 +79,9 @@
     def decode(self, document):
         raise SourceError("not used here")
 
+    def close(self):
+        pass
+
     def _check(self):
         self.calls += 1
         if self.down:
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -263,6 +263,7 @@
         self.counters = []
         self._revoke = revoke_seconds
         self._store_address = ""
+        self._callers = []
 
     def host(self, n):
         return f"127.{77 + WORKER}.{self._network}.{n + 1}"
@@ -326,6 +327,8 @@
         self.store.put(f"servers/i-{n}", entry)
 
     async def stop(self):
+        for writer in self._callers:
+            writer.close()
         for node in self.nodes:
             await node.abort()
         for server in self.servers:
@@ -338,7 +341,10 @@
                 await asyncio.sleep(0.01)
 
     async def connect(self, n=0):
-        return await asyncio.open_connection(self.host(n), 8101)
+        """Connect as a caller; `stop` closes what is still open."""
+        reader, writer = await asyncio.open_connection(self.host(n), 8101)
+        self._callers.append(writer)
+        return reader, writer
 
     async def ask(
         self, path, n=0, method="GET", key="key-1", body=b"", request_id="q1", extra=""
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -1,6 +1,7 @@
 """Cancellation and deadlines along a call chain of real processes."""
 
 import asyncio
+import contextlib
 import tempfile
 import time
 from pathlib import Path
@@ -55,7 +56,8 @@
         """Call the chain from the node of the vault, which serves no other service."""
         address, _, port = self.fleet.http("vault-1").rpartition(":")
         request = HttpRequest("GET", "/desk/x", headers)
-        return await HttpClient(address, int(port)).request(request, 60.0)
+        with contextlib.closing(HttpClient(address, int(port))) as client:
+            return await client.request(request, 60.0)
 
     async def call_and_disconnect(self):
         """Call and close the connection once the deepest service has started."""
--- a/tests/test_golden_sessions.py
+++ b/tests/test_golden_sessions.py
@@ -154,7 +154,8 @@
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
-        writer.close()
+        finally:
+            writer.close()
 
 
 async def _read_request(reader: asyncio.StreamReader) -> bytes:
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 from examples.fleet import HostSpec
 from tests.fleets import FleetTestCase, send
@@ -21,11 +22,11 @@
 
     async def _fetch(self, entry: str, sent_bytes: int) -> bytes:
         async def serve(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LENGTH)
-            writer.write(b"x" * sent_bytes)
-            await writer.drain()
-            writer.close()
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LENGTH)
+                writer.write(b"x" * sent_bytes)
+                await writer.drain()
 
         host, _, port = self.fleet.backend("board-1").rpartition(":")
         server = await asyncio.start_server(serve, host, int(port))
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, field, ok, route
 
@@ -167,10 +168,11 @@
     def test_connection_with_a_partly_sent_request_is_not_reused(self):
         async def answer_early(reader, writer):
             # Answers after the head and never reads the body.
-            head = await reader.readuntil(b"\r\n\r\n")
-            writer.write(ok(head))
-            await writer.drain()
-            await asyncio.sleep(0.5)
+            with contextlib.closing(writer):
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.write(ok(head))
+                await writer.drain()
+                await asyncio.sleep(0.5)
 
         async def scenario(fleet):
             server = fleet.servers[0]
--- a/tests/test_relay_uploads.py
+++ b/tests/test_relay_uploads.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import gc
 
 from damaskramp.relay.backend_connection import _Opening
@@ -167,10 +168,10 @@
         """The server still expects the rest of the body on that connection."""
 
         async def early(reader, writer):
-            request = await reader.readuntil(b"\r\n\r\n")
-            writer.write(ok(request, b"early", status=b"400 Bad"))
-            await asyncio.sleep(0.2)
-            writer.close()
+            with contextlib.closing(writer):
+                request = await reader.readuntil(b"\r\n\r\n")
+                writer.write(ok(request, b"early", status=b"400 Bad"))
+                await asyncio.sleep(0.2)
 
         async def scenario(fleet):
             await fleet.servers[0].stop()
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -28,6 +28,7 @@
             else:
                 self.answers.append(str(answer.ok.status))
             await asyncio.sleep(self.PERIOD_SECONDS)
+        self._client.close()
 
 
 class TestStops(FleetTestCase):
