Show the store's epoch and ignored descriptions in logs and metrics

Change: the store's client reads the number of the store's history from each answer; a value that can't be read keeps the last one, is counted and logged once. Nothing decides by them yet.

Result: tests of fleet, platform and relay pass.

--- a/damaskramp/fleet/__init__.py
+++ b/damaskramp/fleet/__init__.py
@@ -4,8 +4,10 @@
 from damaskramp.fleet.directory import Directory
 from damaskramp.fleet.freshness import Freshness, boot_clock
 from damaskramp.fleet.model import (
+    NO_EPOCH,
     BackendServer,
     CallerLimits,
+    Epoch,
     FleetConfiguration,
     Revision,
     Route,
@@ -23,9 +25,11 @@
 )
 
 __all__ = [
+    "NO_EPOCH",
     "BackendServer",
     "CallerLimits",
     "Directory",
+    "Epoch",
     "FleetConfiguration",
     "FleetSource",
     "Freshness",
--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -52,6 +52,7 @@
         self._defer_until = float("-inf")
         self._revision = Revision(0)
         self._generation = 0
+        self._outdated = 0
         self._hosts: tuple[float, int, list[tuple[str, ZoneName]]] = (0.0, -1, [])
 
     @property
@@ -64,6 +65,11 @@
         """Counter that grows with each change of the directory."""
         return self._generation
 
+    @property
+    def outdated(self) -> int:
+        """Number of descriptions ignored because a newer one was known."""
+        return self._outdated
+
     @property
     def servers(self) -> tuple[BackendServer, ...]:
         """All listed backend servers."""
@@ -206,9 +212,11 @@
     def _add_server(self, server: BackendServer) -> bool:
         known = self._servers.get(server.id)
         if known is not None and known.revision >= server.revision:
+            self._outdated += known != server
             return False
         tombstone = self._removed.get(server.id)
         if tombstone is not None and tombstone[0] >= server.revision:
+            self._outdated += 1
             return False
         self._removed.pop(server.id, None)
         self._servers[server.id] = server
--- a/damaskramp/fleet/model.py
+++ b/damaskramp/fleet/model.py
@@ -7,8 +7,10 @@
 from damaskramp.core.ids import BundleVersion, ServiceName, TeamId, ZoneName
 
 __all__ = [
+    "NO_EPOCH",
     "BackendServer",
     "CallerLimits",
+    "Epoch",
     "FleetConfiguration",
     "Revision",
     "Route",
@@ -17,8 +19,15 @@
     "WeightedService",
 ]
 
+Epoch = NewType("Epoch", int)
+"""Number of a history of the platform's store, which begins a new one when it is
+restored from a copy."""
+
+NO_EPOCH = Epoch(0)
+"""Epoch of a store that states none."""
+
 Revision = NewType("Revision", int)
-"""Counter of the platform's store that grows with each change."""
+"""Counter of the platform's store that grows with each change within an epoch."""
 
 ServerId = NewType("ServerId", str)
 """Id that a backend server has for one or more of its lifetimes."""
--- a/damaskramp/fleet/sources.py
+++ b/damaskramp/fleet/sources.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass
 
 from damaskramp.fleet.model import (
+    NO_EPOCH,
     BackendServer,
+    Epoch,
     FleetConfiguration,
     Revision,
     ServerId,
@@ -41,12 +43,15 @@
     problem : str
         Reason why the published configuration can't be read; empty if it can be read,
         or if there is none.
+    epoch : Epoch
+        Epoch of the source that the revision belongs to.
     """
 
     configuration: FleetConfiguration | None
     servers: tuple[BackendServer, ...]
     revision: Revision
     problem: str = ""
+    epoch: Epoch = NO_EPOCH
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +65,8 @@
     problem : str
         Reason why the newest configuration among the changes can't be read; empty
         otherwise.
+    epoch : Epoch
+        Epoch of the source that the revision belongs to.
     """
 
     configuration: FleetConfiguration | None
@@ -67,6 +74,7 @@
     removed: tuple[tuple[ServerId, Revision], ...]
     revision: Revision
     problem: str = ""
+    epoch: Epoch = NO_EPOCH
 
 
 class FleetSource(ABC):
--- a/damaskramp/platform/store.py
+++ b/damaskramp/platform/store.py
@@ -8,14 +8,16 @@
 import base64
 import binascii
 import logging
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
 import orjson
 
 from damaskramp.core import Counters
 from damaskramp.fleet.model import (
+    NO_EPOCH,
     BackendServer,
+    Epoch,
     FleetConfiguration,
     Revision,
     ServerId,
@@ -28,8 +30,9 @@
     SourceError,
     SourceSnapshot,
 )
-from damaskramp.http import HttpClient, HttpRequest
+from damaskramp.http import HttpClient, HttpRequest, HttpResponse
 from damaskramp.platform.decode import DecodeError, decode_configuration, decode_server
+from damaskramp.platform.fields import parse_digits
 
 __all__ = ["MetadataStore"]
 
@@ -37,11 +40,17 @@
 SERVERS_PREFIX = "servers/"
 ALL_KEYS = ""
 
+EPOCH_FIELD = b"store-era"
+"""Header field with the number of the store's history, in all its answers."""
+
 RESPONSE_TIMEOUT_SECONDS = 1.5
 """Timeout of a request; the timeout of a watch is its wait time plus this time. The
 store answers within 4 ms, or within a few hundred when it is slow. A connection on
 which the answer was lost stays silent, so only the timeout ends the wait."""
 
+MAX_LOGGED_BYTES = 80
+"""Length up to which a header value that can't be read is logged."""
+
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Size up to which a response is read whole. A value may have 1 MB, and a watch may
 return several values."""
@@ -49,6 +58,13 @@
 LOGGER = logging.getLogger(__name__)
 
 
+class _Answer(NamedTuple):
+    """Body of an answer of the store, and the epoch that it states."""
+
+    body: dict[str, Any]
+    epoch: Epoch
+
+
 class MetadataStore(FleetSource):
     """Metadata store as a source of the configuration and the backend servers.
 
@@ -64,6 +80,8 @@
         host, _, port = address.rpartition(":")
         self._client = HttpClient(host, int(port), whole_bytes=MAX_RESPONSE_BYTES)
         self._counters = counters
+        self._epoch = NO_EPOCH
+        self._unreadable_epoch: list[bytes] = []
 
     async def snapshot(self) -> SourceSnapshot:
         """Read the configuration and all server entries."""
@@ -74,7 +92,9 @@
             query = {"path-prefix": SERVERS_PREFIX}
             if after:
                 query["after"] = after
-            page = await self._call("/v1/kv-range", query, RESPONSE_TIMEOUT_SECONDS)
+            page, epoch = await self._call(
+                "/v1/kv-range", query, RESPONSE_TIMEOUT_SECONDS
+            )
             # The pages may have different revisions and then form no consistent
             # snapshot, so changes are followed from the revision of the first page.
             revision = revision or page["store-revision"]
@@ -87,7 +107,7 @@
             after = page["items"][-1]["key"]
         configuration, problem = await self._fetch_configuration()
         return SourceSnapshot(
-            configuration, tuple(servers), Revision(revision), problem
+            configuration, tuple(servers), Revision(revision), problem, epoch
         )
 
     async def changes(self, after: Revision, seconds: float) -> SourceChanges:
@@ -97,7 +117,7 @@
             "after": str(after),
             "wait-ms": str(int(seconds * 1000)),
         }
-        body = await self._call(
+        body, epoch = await self._call(
             "/v1/kv-watch", query, seconds + RESPONSE_TIMEOUT_SECONDS
         )
         configuration, problem = None, ""
@@ -125,6 +145,7 @@
             tuple((ServerId(name), revision) for name, revision in removed.items()),
             Revision(body["store-revision"]),
             problem,
+            epoch,
         )
 
     def decode(self, document: bytes) -> FleetConfiguration:
@@ -140,7 +161,7 @@
 
     async def _fetch_configuration(self) -> tuple[FleetConfiguration | None, str]:
         query = {"key": CONFIGURATION_KEY}
-        item = await self._call(
+        item, _ = await self._call(
             "/v1/kv-key", query, RESPONSE_TIMEOUT_SECONDS, missing_ok=True
         )
         return self._decode_configuration_entry(item) if item else (None, "")
@@ -176,7 +197,7 @@
         query: dict[str, str],
         timeout: float,
         missing_ok: bool = False,
-    ) -> dict[str, Any]:
+    ) -> _Answer:
         self._counters.add("store_calls")
         request = HttpRequest("GET", f"{path}?{urlencode(query)}")
         answer = await self._client.request(request, timeout)
@@ -185,12 +206,13 @@
                 f"{path}: {answer.error.kind.value} {answer.error.detail}"
             )
         response = answer.ok
+        epoch = self._read_epoch(response)
         if response.status == 410:
             raise RevisionExpiredError(path)
         if response.status in (429, 503):
             raise SourceBusyError(f"{path}: status {response.status}")
         if response.status == 404 and missing_ok:
-            return {}
+            return _Answer({}, epoch)
         if response.status != 200:
             raise SourceError(f"{path}: status {response.status}")
         try:
@@ -199,7 +221,24 @@
             raise SourceError(f"{path}: not JSON: {error}") from error
         if not isinstance(body, dict):
             raise SourceError(f"{path}: not an object")
-        return body
+        return _Answer(body, epoch)
+
+    def _read_epoch(self, response: HttpResponse) -> Epoch:
+        """Read the epoch that an answer states; the last one if it can't be read."""
+        stated = [value for name, value in response.headers if name == EPOCH_FIELD]
+        if len(set(stated)) == 1:
+            try:
+                self._epoch = Epoch(parse_digits(stated[0].decode("latin-1")))
+                return self._epoch
+            except DecodeError:
+                pass
+        if stated:
+            self._counters.add("source_epochs_unreadable")
+            if stated != self._unreadable_epoch:
+                values = [repr(value[:MAX_LOGGED_BYTES]) for value in stated]
+                LOGGER.warning("store's epoch can't be read", extra={"values": values})
+        self._unreadable_epoch = stated
+        return self._epoch
 
 
 def _decode_value(item: dict[str, Any]) -> bytes:
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -362,6 +362,8 @@
                 else 0
             ),
             "backend_servers": float(len(fleet_view.directory.servers)),
+            "descriptions_outdated": float(fleet_view.directory.outdated),
+            "store_revision": float(fleet_view.directory.revision),
             "running": float(load.running),
             "waiting": float(load.waiting),
             "limit": float(load.limit),
--- a/damaskramp/relay/watcher.py
+++ b/damaskramp/relay/watcher.py
@@ -15,6 +15,7 @@
 
 from damaskramp.core import Counters, TimerService
 from damaskramp.fleet import (
+    Epoch,
     FleetConfiguration,
     FleetSource,
     Revision,
@@ -111,6 +112,7 @@
         self._counters = counters
         self._random = random_source
         self._revision: Revision | None = None
+        self._epoch: Epoch | None = None
         self._next_poll = float("-inf")
         self._watch: asyncio.Task[None] | None = None
         self._reachable: bool | None = None
@@ -222,6 +224,7 @@
         fleet_view = self._fleet_view
         asked_at = fleet_view.freshness.now
         snapshot = await self._source.snapshot()
+        self._record_epoch(snapshot.epoch, snapshot.revision)
         self._defer_removals_after_outage()
         fleet_view.directory.replace(snapshot.servers, snapshot.revision)
         self._adopt_configuration(snapshot.configuration, snapshot.problem)
@@ -233,6 +236,7 @@
                 "version": fleet_view.version,
                 "servers": len(snapshot.servers),
                 "revision": snapshot.revision,
+                "epoch": snapshot.epoch,
             },
         )
         self._revision = snapshot.revision
@@ -242,6 +246,7 @@
         fleet_view = self._fleet_view
         asked_at = fleet_view.freshness.now
         changes = await self._source.changes(self._revision, seconds)
+        self._record_epoch(changes.epoch, changes.revision)
         self._defer_removals_after_outage()
         fleet_view.directory.merge(changes.servers, changes.removed, changes.revision)
         self._adopt_configuration(changes.configuration, changes.problem)
@@ -290,6 +295,20 @@
                 },
             )
 
+    def _record_epoch(self, epoch: Epoch, revision: Revision) -> None:
+        if self._epoch is not None and epoch != self._epoch:
+            self._counters.add("source_restores")
+            LOGGER.info(
+                "platform's data restored",
+                extra={
+                    "epoch": epoch,
+                    "revision": revision,
+                    "previous_epoch": self._epoch,
+                    "previous_revision": self._revision,
+                },
+            )
+        self._epoch = epoch
+
     def _record_reached(self) -> None:
         if not self._reachable:
             self._reachable = True
