Failing tests: the store comes back from a copy

With a store of our own that goes back to a copy and gives its revisions out again, seven of eleven scenarios fail on this code: a server that joined before the return and leaves after it gets requests (also through a node that only its peers tell), one that never comes back is used for good, changes below the known revision are never read, a node that starts on the copy honours a withdrawn key, and a store that is behind proves a configuration current.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import contextlib
+import dataclasses
 import itertools
 import os
 from urllib.parse import parse_qs
@@ -34,9 +35,15 @@
 
 
 class StoreStandIn:
-    """Fake of the platform's store with revisions, paged ranges and watches."""
+    """Fake of the platform's store with revisions, paged ranges and watches.
+
+    All answers state the number of the store's history in `eras`, the values of that
+    header field. A restore from a copy begins a new history.
+    """
 
     def __init__(self, page=50):
+        self.eras = [b"1"]
+        self._restores = 0
         self.items = {}
         self.events = []
         self.revision = 1
@@ -73,11 +80,29 @@
         del self.items[key]
         self._record_event({"key": key, "revision": self.revision, "deleted": True})
 
+    def copy(self):
+        """Return a copy of the items from which the store can be restored."""
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        """Lose all changes since a copy; their revisions are given out again."""
+        items, self.revision = copy
+        self.items = dict(items)
+        self.events = [e for e in self.events if e["revision"] <= self.revision]
+        self._restores += 1
+        self.eras = [b"%d" % (1 + self._restores)]
+        self._record_event(None)
+
     def expire_history(self):
         self.expired_revision = self.revision
         self._record_event(None)
 
     async def handle(self, request):
+        answer = await self._handle(request)
+        eras = tuple((b"store-era", value) for value in self.eras)
+        return dataclasses.replace(answer, headers=answer.headers + eras)
+
+    async def _handle(self, request):
         self.calls += 1
         if self.silent:
             await asyncio.sleep(3600)
@@ -105,13 +130,14 @@
 
     async def _watch(self, fields):
         after = int(fields["after"])
-        if after < self.expired_revision:
+        restores = self._restores
+        if not self.expired_revision <= after <= self.revision:
             return HttpResponse(410)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(fields["wait-ms"]) / 1000):
-                while self.revision <= after:
+                while self.revision <= after and restores == self._restores:
                     await self._changed.wait()
-        if after < self.expired_revision:
+        if after < self.expired_revision or restores != self._restores:
             return HttpResponse(410)
         found = [e for e in self.events if e["revision"] > after]
         prefix = fields["path-prefix"]
@@ -302,8 +328,8 @@
             grace_seconds=3.0,
         )
 
-    async def start_node(self, n):
-        settings = self.settings(n)
+    async def start_node(self, n, **changed):
+        settings = dataclasses.replace(self.settings(n), **changed)
         counters = Counters()
         source = MetadataStore(settings.platform_address, counters)
         node = RelayNode(settings, source, PLATFORM_HEADERS, READINESS_PATH, counters)
