Follow a store that comes back from a copy

Cause: descriptions, deletions and gossip were ordered by the store's revision alone, and the changes after a revision were asked for whatever history the store was on. A restored store gives its revisions out again, so a report at a revision below the known one was ignored by every node, the one beside the server included; a watch whose revision had been passed again skipped what lay before it. The class: an order that is taken from a counter which its owner may set back.

Change: a position is an epoch and a revision. An answer of another epoch than the one asked after counts as lost history, so the whole list is read. Within an epoch the revision orders as before. Across epochs what was certainly written in the current one wins, else the server's own count of reports (start, sequence); a deletion remembers the report it ended. Removals are handed on for 5 s whatever their revision, since a peer that is complete up to it may lack one that was deferred. Nodes follow the epoch that the store stated last, told by peers with its age, not the highest number, so that an odd value of the header passes.

Nodes of this build don't share a fleet with earlier ones: messages between nodes have new fields.

--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -1,10 +1,17 @@
 """Directory of backend servers, merged from the platform and from peers.
 
-Each description carries the revision of the store at which it was written. Views
-therefore merge in any order, because the later revision wins. A deletion leaves a
-tombstone with its revision for as long as a peer may still have the deleted
+Each description carries the revision of the store at which it was written. Views of
+one epoch of the store therefore merge in any order, because the later revision wins. A
+deletion leaves a tombstone for as long as a peer may still have the deleted
 description.
 
+A store that is restored from a copy begins a new epoch, in which revisions are given
+out again and changes may be lost until their writers have made them again. Across
+epochs, what was certainly written in the current one wins; otherwise the later report
+by the server's own count does. What was known before therefore stands until the store
+lists something newer or, for a deletion, until the store would have deleted the server
+again.
+
 While the platform is unreachable, descriptions may expire although their servers are
 alive. After its return, removals are therefore deferred until such servers have had
 time to describe themselves again.
@@ -13,13 +20,36 @@
 from collections.abc import Callable, Iterable
 
 from damaskramp.core.ids import ServiceName, ZoneName
-from damaskramp.fleet.model import BackendServer, Revision, ServerId
-
-__all__ = ["Directory"]
-
-TOMBSTONE_SECONDS = 60.0
-"""Time for which a deletion is remembered. A peer that still serves traffic can be cut
-off only for less than this time before it hands on the old description."""
+from damaskramp.fleet.model import (
+    NO_EPOCH,
+    BackendServer,
+    Epoch,
+    Removal,
+    Revision,
+    ServerId,
+    StorePosition,
+)
+
+__all__ = ["REREGISTRATION_SECONDS", "Directory"]
+
+TOMBSTONE_SECONDS = 600.0
+"""Time for which a deletion is remembered. It is longer than a peer that serves traffic
+can be cut off before it hands on the old description, and than a copy from which the
+store is restored is old."""
+
+RECENT_REMOVAL_SECONDS = 5.0
+"""Time for which a removal is handed on whatever its revision. Gossip reaches all hosts
+within this time. Peers that are complete up to its revision lack a removal that was
+deferred, or one of an earlier epoch."""
+
+REREGISTRATION_SECONDS = 2.0
+"""Time after the platform's return, in seconds, within which live servers are described
+again, according to the platform."""
+
+OVERRIDE_SECONDS = 10.0
+"""Time for which a deletion of an earlier epoch stands against a store that lists the
+server again. By then the store has deleted a server that is gone: it does so after
+three missed heartbeats."""
 
 HOST_RETENTION_SECONDS = 20.0
 """Time for which a host still counts after its server was last listed. It is twice the
@@ -45,20 +75,33 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._servers: dict[ServerId, BackendServer] = {}
-        self._removed: dict[ServerId, tuple[Revision, float]] = {}
+        self._removed: dict[ServerId, tuple[Removal, float]] = {}
+        self._overridden: dict[ServerId, tuple[BackendServer, float]] = {}
         self._by_service: dict[ServiceName, list[BackendServer]] = {}
         self._hosts_last_listed: dict[str, tuple[float, ZoneName]] = {}
-        self._deferred: dict[ServerId, Revision] = {}
+        self._deferred: dict[ServerId, Removal] = {}
         self._defer_until = float("-inf")
-        self._revision = Revision(0)
+        self._position = StorePosition(NO_EPOCH, Revision(0))
+        self._epoch_start = Revision(0)
+        self._earlier: tuple[BackendServer, ...] = ()
         self._generation = 0
         self._outdated = 0
         self._hosts: tuple[float, int, list[tuple[str, ZoneName]]] = (0.0, -1, [])
 
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store up to which the directory is complete."""
+        return self._position
+
+    @property
+    def epoch(self) -> Epoch:
+        """Epoch of the store that the directory follows."""
+        return self._position.epoch
+
     @property
     def revision(self) -> Revision:
         """Revision of the store up to which the directory is complete."""
-        return self._revision
+        return self._position.revision
 
     @property
     def generation(self) -> int:
@@ -76,9 +119,40 @@
         return tuple(self._servers.values())
 
     @property
-    def removed(self) -> tuple[tuple[ServerId, Revision], ...]:
+    def removed(self) -> tuple[Removal, ...]:
         """Deletions that are still remembered."""
-        return tuple((name, entry[0]) for name, entry in self._removed.items())
+        return tuple(removal for removal, _ in self._removed.values())
+
+    def changes_after(
+        self, revision: Revision
+    ) -> tuple[list[BackendServer], list[Removal]]:
+        """Changes that a peer which follows the same epoch may lack.
+
+        Parameters
+        ----------
+        revision : Revision
+            Revision up to which the peer's directory is complete.
+        """
+        oldest = self._clock() - RECENT_REMOVAL_SECONDS
+        epoch = self.epoch
+        removed = [
+            removal
+            for removal, at in self._removed.values()
+            if at > oldest or (removal.epoch == epoch and removal.revision > revision)
+        ]
+        if self.revision <= revision:
+            return list(self._earlier), removed
+        servers = [
+            server
+            for server in self._servers.values()
+            if server.epoch != epoch or server.revision > revision
+        ]
+        return servers, removed
+
+    def removal_of(self, server: ServerId) -> Removal | None:
+        """Deletion of a server's description; None if none is remembered."""
+        found = self._removed.get(server)
+        return found[0] if found is not None else None
 
     def of_service(self, service: ServiceName) -> list[BackendServer]:
         """Backend servers of a service, leaving ones included."""
@@ -92,7 +166,11 @@
         Of several lifetimes of the server, the latest is returned.
         """
         found = [s for s in self.of_service(service) if s.address == address]
-        return max(found, key=lambda s: (s.started, s.revision), default=None)
+        return max(
+            found,
+            key=lambda s: (s.started, s.epoch == self.epoch, s.revision),
+            default=None,
+        )
 
     def find(self, server: ServerId) -> BackendServer | None:
         """Description of a server; None if it is not listed."""
@@ -110,15 +188,17 @@
         """Defer removals until a clock time in seconds."""
         self._defer_until = max(self._defer_until, until)
 
-    def apply_deferred_removals(self) -> bool:
-        """Apply deferred removals if their time is over.
+    def apply_deferred(self) -> bool:
+        """Apply deferred removals, and listings that were overridden, in their time.
 
         The return value tells whether the directory changed.
         """
-        if not self._deferred or self._clock() < self._defer_until:
-            return False
+        now = self._clock()
+        changed = self._restore_overridden(now - OVERRIDE_SECONDS)
+        if not self._deferred or now < self._defer_until:
+            return changed
         deferred, self._deferred = self._deferred, {}
-        return self.merge((), deferred.items())
+        return self.merge((), deferred.values()) or changed
 
     def hosts(self) -> list[tuple[str, ZoneName]]:
         """Hosts that are listed or were listed a short time ago, each with its zone.
@@ -144,18 +224,16 @@
     def merge(
         self,
         servers: Iterable[BackendServer],
-        removed: Iterable[tuple[ServerId, Revision]] = (),
-        complete_to: Revision | None = None,
+        removed: Iterable[Removal] = (),
+        complete_to: StorePosition | None = None,
     ) -> bool:
         """Merge descriptions and deletions; return whether the directory changed.
 
         Parameters
         ----------
-        removed : iterable of (ServerId, Revision)
-            Deleted descriptions and the revisions of their deletion.
-        complete_to : Revision or None
-            Revision up to which the sender's view, together with this directory, is
-            complete.
+        complete_to : StorePosition or None
+            Position up to which the sender's view, together with this directory, is
+            complete. It is ignored if it belongs to another epoch.
         """
         return self._merge(
             (server for server in servers if not self._is_known_deleted(server)),
@@ -163,6 +241,47 @@
             complete_to,
         )
 
+    def replace(
+        self,
+        servers: Iterable[BackendServer],
+        position: StorePosition,
+        removed: Iterable[Removal] = (),
+    ) -> bool:
+        """Apply a complete list of servers; return whether the directory changed.
+
+        Servers that the list lacks are removed unless their description is newer. If
+        the list belongs to another epoch, the directory follows that one from now on.
+
+        Parameters
+        ----------
+        position : StorePosition
+            Position of the store before the first part of the list was read.
+        """
+        servers = list(servers)
+        enters_epoch = position.epoch != self.epoch
+        if enters_epoch:
+            self._enter_epoch(position)
+        listed = {server.id for server in servers}
+        missing = [
+            Removal(name, position.revision, position.epoch, server.report)
+            for name, server in self._servers.items()
+            if name not in listed
+            and (server.epoch != self.epoch or server.revision <= position.revision)
+        ]
+        # Servers that the store lists exist, whatever peers have reported, so they
+        # skip the check for known deletions.
+        changed = self._merge(servers, [*removed, *missing], position)
+        if enters_epoch and not changed:
+            self._rebuild()
+        return changed or enters_epoch
+
+    def _enter_epoch(self, position: StorePosition) -> None:
+        self._position = position
+        self._epoch_start = position.revision
+        self._overridden.clear()
+        if self._servers:
+            self.defer_removals(self._clock() + REREGISTRATION_SECONDS)
+
     def _is_known_deleted(self, server: BackendServer) -> bool:
         """Whether a description must have been deleted, as this directory lacks it.
 
@@ -170,81 +289,139 @@
         lacks was deleted. A process that has just started needs this check, because it
         has no tombstones of earlier deletions.
         """
-        return server.id not in self._servers and server.revision <= self._revision
+        if server.id in self._servers:
+            return False
+        return server.epoch != self.epoch or server.revision <= self.revision
 
     def _merge(
         self,
         servers: Iterable[BackendServer],
-        removed: Iterable[tuple[ServerId, Revision]],
-        complete_to: Revision | None,
+        removed: Iterable[Removal],
+        complete_to: StorePosition | None,
     ) -> bool:
         changed = False
         for server in servers:
             changed |= self._add_server(server)
-        for name, revision in removed:
-            changed |= self._remove_server(name, revision)
-        if complete_to is not None and complete_to > self._revision:
-            self._revision = complete_to
+        for removal in removed:
+            changed |= self._remove_server(removal)
+        if complete_to is not None and complete_to.epoch == self.epoch:
+            self._position = max(self._position, complete_to)
         if changed:
             self._rebuild()
         return changed
 
-    def replace(self, servers: tuple[BackendServer, ...], revision: Revision) -> bool:
-        """Apply a snapshot of the store; return whether the directory changed.
-
-        Descriptions that the snapshot lacks are removed unless they are newer.
-
-        Parameters
-        ----------
-        revision : Revision
-            Revision of the store before the first page of the snapshot was read.
-        """
-        listed = {server.id for server in servers}
-        missing = [
-            (name, revision)
-            for name, server in self._servers.items()
-            if name not in listed and server.revision <= revision
-        ]
-        # Servers that the store lists exist, whatever peers have reported, so they
-        # skip the check for known deletions.
-        return self._merge(servers, missing, revision)
-
     def _add_server(self, server: BackendServer) -> bool:
         known = self._servers.get(server.id)
-        if known is not None and known.revision >= server.revision:
+        if known is not None and not self._is_newer(server, known):
             self._outdated += known != server
             return False
-        tombstone = self._removed.get(server.id)
-        if tombstone is not None and tombstone[0] >= server.revision:
+        removal = self.removal_of(server.id)
+        if removal is not None and not self._is_after_removal(server, removal):
             self._outdated += 1
+            if server.epoch == self.epoch and removal.epoch != self.epoch:
+                self._overridden.setdefault(server.id, (server, self._clock()))
             return False
         self._removed.pop(server.id, None)
+        self._overridden.pop(server.id, None)
         self._servers[server.id] = server
         return True
 
-    def _remove_server(self, name: ServerId, revision: Revision) -> bool:
+    def _remove_server(self, removal: Removal) -> bool:
+        name = removal.server
         known = self._servers.get(name)
-        if known is not None and known.revision > revision:
+        if known is not None:
+            if not self._is_removed_by(known, removal):
+                return False
+            removal = removal._replace(report=max(known.report, removal.report or ()))
+            if self._clock() < self._defer_until:
+                self._deferred[name] = removal
+                return False
+        elif not self._is_later_removal(removal):
             return False
-        if known is not None and self._clock() < self._defer_until:
-            self._deferred[name] = revision
-            return False
-        tombstone = self._removed.get(name)
-        if tombstone is not None and tombstone[0] >= revision:
-            return False
-        self._removed[name] = (revision, self._clock())
+        self._removed[name] = (removal, self._clock())
+        if removal.epoch == self.epoch:
+            self._overridden.pop(name, None)
         if known is None:
             return False
+        if known.epoch == self.epoch and removal.epoch != self.epoch:
+            self._overridden[name] = (known, self._clock())
         self._hosts_last_listed[known.host] = (self._clock(), known.zone)
         del self._servers[name]
         return True
 
+    def _restore_overridden(self, before: float) -> bool:
+        """List servers again that the store has gone on listing since a clock time."""
+        restored = [
+            server for server, since in self._overridden.values() if since <= before
+        ]
+        for server in restored:
+            del self._overridden[server.id]
+            self._removed.pop(server.id, None)
+            self._servers[server.id] = server
+        if restored:
+            self._rebuild()
+        return bool(restored)
+
+    def _is_of_epoch(self, epoch: Epoch, revision: Revision) -> bool:
+        """Whether something was certainly written in the current epoch.
+
+        Earlier revisions may be those of the copy from which the store was restored.
+        """
+        return epoch == self.epoch and revision > self._epoch_start
+
+    def _is_newer(self, server: BackendServer, known: BackendServer) -> bool:
+        if server.epoch == known.epoch:
+            return server.revision > known.revision
+        if self._is_of_epoch(server.epoch, server.revision):
+            return True
+        if self._is_of_epoch(known.epoch, known.revision):
+            return False
+        if server.report != known.report:
+            return server.report > known.report
+        if server.leaving != known.leaving:
+            return server.revision > known.revision
+        return server.epoch == self.epoch
+
+    def _is_after_removal(self, server: BackendServer, removal: Removal) -> bool:
+        if server.epoch == removal.epoch:
+            return server.revision > removal.revision
+        if self._is_of_epoch(server.epoch, server.revision):
+            return True
+        if self._is_of_epoch(removal.epoch, removal.revision):
+            return False
+        return removal.report is None or server.report > removal.report
+
+    def _is_removed_by(self, server: BackendServer, removal: Removal) -> bool:
+        if server.epoch == removal.epoch:
+            return server.revision <= removal.revision
+        if self._is_of_epoch(removal.epoch, removal.revision):
+            return True
+        if self._is_of_epoch(server.epoch, server.revision):
+            return False
+        return removal.report is not None and server.report <= removal.report
+
+    def _is_later_removal(self, removal: Removal) -> bool:
+        """Whether a removal of a server that isn't listed says more than is known."""
+        known = self.removal_of(removal.server)
+        if known is None:
+            return True
+        if removal.epoch == known.epoch:
+            return removal.revision > known.revision
+        if known.epoch == self.epoch:
+            return False
+        return removal.epoch == self.epoch or (removal.report or ()) > (
+            known.report or ()
+        )
+
     def _rebuild(self) -> None:
         now = self._clock()
         self._generation += 1
         self._by_service = {}
         for server in self._servers.values():
             self._by_service.setdefault(server.service, []).append(server)
+        self._earlier = tuple(
+            server for server in self._servers.values() if server.epoch != self.epoch
+        )
         for name, (_, deleted_at) in list(self._removed.items()):
             if now - deleted_at > TOMBSTONE_SECONDS:
                 del self._removed[name]
--- a/damaskramp/fleet/model.py
+++ b/damaskramp/fleet/model.py
@@ -1,7 +1,7 @@
 """Immutable values for the published configuration and the running backend servers."""
 
 from dataclasses import dataclass, field
-from typing import NewType
+from typing import NamedTuple, NewType
 
 from damaskramp.core.findings import Finding
 from damaskramp.core.ids import BundleVersion, ServiceName, TeamId, ZoneName
@@ -12,9 +12,12 @@
     "CallerLimits",
     "Epoch",
     "FleetConfiguration",
+    "Removal",
     "Revision",
     "Route",
     "ServerId",
+    "ServerReport",
+    "StorePosition",
     "Team",
     "WeightedService",
 ]
@@ -33,6 +36,51 @@
 """Id that a backend server has for one or more of its lifetimes."""
 
 
+class StorePosition(NamedTuple):
+    """Point in a history of the platform's store.
+
+    Revisions of different epochs can't be compared: a store that is restored from a
+    copy gives revisions out again.
+    """
+
+    epoch: Epoch
+    revision: Revision
+
+
+class ServerReport(NamedTuple):
+    """Report that a backend server makes about itself.
+
+    Reports are ordered by the server's own count, whatever becomes of the store.
+
+    Attributes
+    ----------
+    started : int
+        Start of the server in milliseconds since the epoch; 0 if not reported.
+    number : int
+        Number of the report since that start; 0 if not reported.
+    """
+
+    started: int
+    number: int
+
+
+class Removal(NamedTuple):
+    """Deletion of the description of a backend server from the store.
+
+    Attributes
+    ----------
+    revision, epoch : Revision, Epoch
+        Position of the deletion in the store.
+    report : ServerReport or None
+        Latest report of the server that was known then; None if none was.
+    """
+
+    server: ServerId
+    revision: Revision
+    epoch: Epoch = NO_EPOCH
+    report: ServerReport | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class WeightedService:
     """A service and its weight in the division of a route's requests."""
@@ -172,6 +220,10 @@
         Start of this lifetime, in milliseconds since the epoch; 0 if not reported.
     revision : Revision
         Revision of the store at which this description was written.
+    report_number : int
+        Number of the server's report since its start; 0 if not reported.
+    epoch : Epoch
+        Epoch of the store that listed this description.
     """
 
     id: ServerId
@@ -183,6 +235,13 @@
     warmup: float
     started: int
     revision: Revision
+    report_number: int = 0
+    epoch: Epoch = NO_EPOCH
+
+    @property
+    def report(self) -> ServerReport:
+        """Report that this description stems from."""
+        return ServerReport(self.started, self.report_number)
 
     @property
     def host(self) -> str:
--- a/damaskramp/fleet/sources.py
+++ b/damaskramp/fleet/sources.py
@@ -4,12 +4,10 @@
 from dataclasses import dataclass
 
 from damaskramp.fleet.model import (
-    NO_EPOCH,
     BackendServer,
-    Epoch,
     FleetConfiguration,
-    Revision,
-    ServerId,
+    Removal,
+    StorePosition,
 )
 
 __all__ = [
@@ -36,45 +34,39 @@
 
 @dataclass(frozen=True, slots=True)
 class SourceSnapshot:
-    """All published data, with the revision after which to watch for changes.
+    """All published data, with the position after which to watch for changes.
 
     Attributes
     ----------
     problem : str
         Reason why the published configuration can't be read; empty if it can be read,
         or if there is none.
-    epoch : Epoch
-        Epoch of the source that the revision belongs to.
     """
 
     configuration: FleetConfiguration | None
     servers: tuple[BackendServer, ...]
-    revision: Revision
+    position: StorePosition
     problem: str = ""
-    epoch: Epoch = NO_EPOCH
 
 
 @dataclass(frozen=True, slots=True)
 class SourceChanges:
-    """Changes after a revision.
+    """Changes after a position.
 
     Attributes
     ----------
-    removed : tuple of (ServerId, Revision)
+    removed : tuple of Removal
         Descriptions that were deleted, or replaced by ones that can't be read.
     problem : str
         Reason why the newest configuration among the changes can't be read; empty
         otherwise.
-    epoch : Epoch
-        Epoch of the source that the revision belongs to.
     """
 
     configuration: FleetConfiguration | None
     servers: tuple[BackendServer, ...]
-    removed: tuple[tuple[ServerId, Revision], ...]
-    revision: Revision
+    removed: tuple[Removal, ...]
+    position: StorePosition
     problem: str = ""
-    epoch: Epoch = NO_EPOCH
 
 
 class FleetSource(ABC):
@@ -86,18 +78,20 @@
 
         Raises
         ------
+        RevisionExpiredError
+            If the source has begun another epoch meanwhile.
         SourceError
             If there was no usable answer.
         """
 
     @abstractmethod
-    async def changes(self, after: Revision, seconds: float) -> SourceChanges:
-        """Wait up to `seconds` for changes after a revision.
+    async def changes(self, after: StorePosition, seconds: float) -> SourceChanges:
+        """Wait up to `seconds` for changes after a position.
 
         Raises
         ------
         RevisionExpiredError
-            If the changes are no longer kept.
+            If the changes are no longer kept, or the source has begun another epoch.
         SourceError
             If there was no usable answer.
         """
--- a/damaskramp/fleet/tests/test_directory.py
+++ b/damaskramp/fleet/tests/test_directory.py
@@ -6,7 +6,13 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from damaskramp.fleet import BackendServer, Directory, Freshness
+from damaskramp.fleet import (
+    BackendServer,
+    Directory,
+    Freshness,
+    Removal,
+    StorePosition,
+)
 
 
 def server(name, revision, leaving=False, address="10.0.0.1:80", started=0):
@@ -39,7 +45,7 @@
                 if put:
                     directory.merge([server(name, revision)])
                 else:
-                    directory.merge([], [(name, revision)])
+                    directory.merge([], [Removal(name, revision)])
             views.append({(s.id, s.revision) for s in directory.servers})
         last = {name: (revision, put) for name, revision, put in changes}
         expected = {(name, revision) for name, (revision, put) in last.items() if put}
@@ -48,18 +54,18 @@
     def test_snapshot_removes_missing_servers_but_no_newer_ones(self):
         directory = Directory(Clock())
         directory.merge([server("old", 3), server("new", 9)])
-        directory.replace((), 5)
+        directory.replace((), StorePosition(0, 5))
         self.assertEqual(["new"], [s.id for s in directory.servers])
 
     def test_old_description_missing_from_a_snapshot_is_ignored(self):
         """A process that has just started has no tombstone of an earlier deletion."""
         directory = Directory(Clock())
-        directory.replace((server("here", 5),), 9)
+        directory.replace((server("here", 5),), StorePosition(0, 9))
         directory.merge([server("left", 4), server("here", 4), server("new", 10)])
         self.assertEqual({"here", "new"}, {s.id for s in directory.servers})
         self.assertEqual(5, directory.servers[0].revision)
         # A description that the store itself lists is accepted.
-        directory.replace((server("here", 5), server("left", 4)), 9)
+        directory.replace((server("here", 5), server("left", 4)), StorePosition(0, 9))
         self.assertTrue(directory.is_listed("left"))
 
     def test_latest_lifetime_at_an_address_is_found(self):
@@ -74,20 +80,20 @@
         directory = Directory(clock)
         directory.merge([server("back", 3), server("gone", 4)])
         directory.defer_removals(until=2.0)
-        directory.merge([], [("back", 7), ("gone", 8)])
+        directory.merge([], [Removal("back", 7), Removal("gone", 8)])
         self.assertEqual(2, len(directory.servers))
         directory.merge([server("back", 9)])
         clock.now = 1.9
-        self.assertFalse(directory.apply_deferred_removals())
+        self.assertFalse(directory.apply_deferred())
         clock.now = 2.0
-        self.assertTrue(directory.apply_deferred_removals())
+        self.assertTrue(directory.apply_deferred())
         self.assertEqual(["back"], [s.id for s in directory.servers])
 
     def test_hosts_are_retained_for_a_time_after_removal(self):
         clock = Clock()
         directory = Directory(clock)
         directory.merge([server("a", 1, address="10.0.0.2:80")])
-        directory.merge([], [("a", 2)])
+        directory.merge([], [Removal("a", 2)])
         clock.now = 19.0
         self.assertEqual([("10.0.0.2", "a")], directory.hosts())
         clock.now = 21.0
--- a/damaskramp/platform/decode.py
+++ b/damaskramp/platform/decode.py
@@ -11,8 +11,10 @@
 from damaskramp.core import Findings
 from damaskramp.core.ids import BundleVersion, ServiceName, TeamId, ZoneName
 from damaskramp.fleet.model import (
+    NO_EPOCH,
     BackendServer,
     CallerLimits,
+    Epoch,
     FleetConfiguration,
     Revision,
     Route,
@@ -56,7 +58,9 @@
 """Placeholder for a service that can't be read; it has no backend servers."""
 
 
-def decode_server(name: str, value: bytes, revision: int) -> BackendServer:
+def decode_server(
+    name: str, value: bytes, revision: int, epoch: Epoch = NO_EPOCH
+) -> BackendServer:
     """Decode the entry that a backend server publishes about itself.
 
     Parameters
@@ -67,6 +71,8 @@
         JSON text of the entry.
     revision : int
         Store revision that wrote the entry.
+    epoch : Epoch
+        Epoch of the store that lists the entry.
 
     Raises
     ------
@@ -93,6 +99,9 @@
         # Start time of the server in Unix milliseconds; only some servers report it.
         started=read_field("born", integer_parser(0), 0),
         revision=Revision(integer_parser(0)(revision)),
+        # Counts the server's reports; the store keeps that of the last change.
+        report_number=read_field("sequence", integer_parser(0), 0),
+        epoch=epoch,
     )
 
 
--- a/damaskramp/platform/store.py
+++ b/damaskramp/platform/store.py
@@ -19,8 +19,10 @@
     BackendServer,
     Epoch,
     FleetConfiguration,
+    Removal,
     Revision,
     ServerId,
+    StorePosition,
 )
 from damaskramp.fleet.sources import (
     FleetSource,
@@ -86,7 +88,7 @@
     async def snapshot(self) -> SourceSnapshot:
         """Read the configuration and all server entries."""
         servers: list[BackendServer] = []
-        revision = 0
+        position: StorePosition | None = None
         after = ""
         while True:
             query = {"path-prefix": SERVERS_PREFIX}
@@ -97,32 +99,34 @@
             )
             # The pages may have different revisions and then form no consistent
             # snapshot, so changes are followed from the revision of the first page.
-            revision = revision or page["store-revision"]
+            if position is None:
+                position = StorePosition(epoch, Revision(page["store-revision"]))
+            _check_epoch(epoch, position)
             for item in page["items"]:
-                server = self._decode_server_entry(item)
+                server = self._decode_server_entry(item, epoch)
                 if server is not None:
                     servers.append(server)
             if not page.get("has-more") or not page["items"]:
                 break
             after = page["items"][-1]["key"]
-        configuration, problem = await self._fetch_configuration()
-        return SourceSnapshot(
-            configuration, tuple(servers), Revision(revision), problem, epoch
-        )
+        configuration, problem = await self._fetch_configuration(position)
+        return SourceSnapshot(configuration, tuple(servers), position, problem)
 
-    async def changes(self, after: Revision, seconds: float) -> SourceChanges:
-        """Wait up to `seconds` for changes after a revision."""
+    async def changes(self, after: StorePosition, seconds: float) -> SourceChanges:
+        """Wait up to `seconds` for changes after a position."""
         query = {
             "path-prefix": ALL_KEYS,
-            "after": str(after),
+            "after": str(after.revision),
             "wait-ms": str(int(seconds * 1000)),
         }
         body, epoch = await self._call(
             "/v1/kv-watch", query, seconds + RESPONSE_TIMEOUT_SECONDS
         )
+        # Another history has passed the revision if the store answers nevertheless.
+        _check_epoch(epoch, after)
         configuration, problem = None, ""
         servers: dict[str, BackendServer] = {}
-        removed: dict[str, Revision] = {}
+        removed: dict[str, Removal] = {}
         for event in body["events"]:
             key = event["key"]
             if key == CONFIGURATION_KEY and not event.get("deleted"):
@@ -131,21 +135,23 @@
             elif key.startswith(SERVERS_PREFIX):
                 name = key[len(SERVERS_PREFIX) :]
                 server = (
-                    None if event.get("deleted") else self._decode_server_entry(event)
+                    None
+                    if event.get("deleted")
+                    else self._decode_server_entry(event, epoch)
                 )
                 servers.pop(name, None)
                 removed.pop(name, None)
                 if server is not None:
                     servers[name] = server
                 else:
-                    removed[name] = Revision(event["revision"])
+                    revision = Revision(event["revision"])
+                    removed[name] = Removal(ServerId(name), revision, epoch)
         return SourceChanges(
             configuration,
             tuple(servers.values()),
-            tuple((ServerId(name), revision) for name, revision in removed.items()),
-            Revision(body["store-revision"]),
+            tuple(removed.values()),
+            StorePosition(epoch, Revision(body["store-revision"])),
             problem,
-            epoch,
         )
 
     def decode(self, document: bytes) -> FleetConfiguration:
@@ -159,11 +165,14 @@
         """Close the idle connections; those of running calls end with the calls."""
         self._client.close()
 
-    async def _fetch_configuration(self) -> tuple[FleetConfiguration | None, str]:
+    async def _fetch_configuration(
+        self, position: StorePosition
+    ) -> tuple[FleetConfiguration | None, str]:
         query = {"key": CONFIGURATION_KEY}
-        item, _ = await self._call(
+        item, epoch = await self._call(
             "/v1/kv-key", query, RESPONSE_TIMEOUT_SECONDS, missing_ok=True
         )
+        _check_epoch(epoch, position)
         return self._decode_configuration_entry(item) if item else (None, "")
 
     def _decode_configuration_entry(
@@ -176,11 +185,13 @@
             self._record_unreadable(CONFIGURATION_KEY, error)
             return None, str(error)
 
-    def _decode_server_entry(self, item: dict[str, Any]) -> BackendServer | None:
+    def _decode_server_entry(
+        self, item: dict[str, Any], epoch: Epoch
+    ) -> BackendServer | None:
         key = item["key"]
         try:
             name = key[len(SERVERS_PREFIX) :]
-            return decode_server(name, _decode_value(item), item["revision"])
+            return decode_server(name, _decode_value(item), item["revision"], epoch)
         except DecodeError as error:
             self._record_unreadable(key, error)
             return None
@@ -241,6 +252,12 @@
         return self._epoch
 
 
+def _check_epoch(epoch: Epoch, position: StorePosition) -> None:
+    """Raise `RevisionExpiredError` if an answer has another epoch than a position."""
+    if epoch != position.epoch:
+        raise RevisionExpiredError(f"epoch {epoch}, not {position.epoch}")
+
+
 def _decode_value(item: dict[str, Any]) -> bytes:
     try:
         return base64.b64decode(item.get("value"), validate=True)
--- a/damaskramp/relay/fleet_view.py
+++ b/damaskramp/relay/fleet_view.py
@@ -9,6 +9,7 @@
 from damaskramp.fleet import (
     BackendServer,
     Directory,
+    Epoch,
     FleetConfiguration,
     Freshness,
     LeavingAnnouncements,
@@ -75,6 +76,7 @@
         self.directory = Directory(clock)
         self.leaving_announcements = LeavingAnnouncements(clock)
         self.freshness = Freshness()
+        self.epoch_freshness = Freshness()
         self.suspects = suspects
 
     @property
@@ -150,6 +152,17 @@
             self._readers = (hosts, zone_readers(hosts, self._zone))
         return self._readers[1]
 
+    def states_later_epoch(self, epoch: Epoch, stated_at: float) -> bool:
+        """Whether the store stated another epoch later than the one that is followed.
+
+        Parameters
+        ----------
+        stated_at : float
+            Time of the statement on the clock of ``freshness``.
+        """
+        followed_at = self.epoch_freshness.now - self.epoch_freshness.age
+        return epoch != self.directory.epoch and stated_at > followed_at
+
     def set_key_max_age(self, key_max_age: float) -> None:
         """Set the longest age of the configuration at which keys are honoured."""
         self._key_max_age = key_max_age
--- a/damaskramp/relay/messages.py
+++ b/damaskramp/relay/messages.py
@@ -10,7 +10,15 @@
 
 from damaskramp.core import Reason
 from damaskramp.core.ids import ServiceName, ZoneName
-from damaskramp.fleet.model import BackendServer, Revision, ServerId
+from damaskramp.fleet.model import (
+    BackendServer,
+    Epoch,
+    Removal,
+    Revision,
+    ServerId,
+    ServerReport,
+    StorePosition,
+)
 
 __all__ = [
     "REASONS",
@@ -19,9 +27,11 @@
     "Kind",
     "check_host",
     "pack_document",
+    "pack_removal",
     "pack_server",
     "unpack_document",
-    "unpack_removals",
+    "unpack_position",
+    "unpack_removal",
     "unpack_server",
 ]
 
@@ -107,9 +117,18 @@
     known_rate_limit: float = 0.0
 
 
-SERVER_TYPES = (str, str, str, str, int, bool, float, int, int)
+SERVER_TYPES = (str, str, str, str, int, bool, float, int, int, int, int)
 """Types of the elements that describe a backend server."""
 
+REMOVAL_TYPES = (str, int, int, int, int)
+"""Types of the elements that describe the removal of a backend server."""
+
+POSITION_TYPES = (int, int)
+"""Types of the epoch and the revision of a position in the store."""
+
+NO_REPORT = ServerReport(-1, -1)
+"""Stands for the missing report of a removal."""
+
 
 def pack_server(server: BackendServer) -> tuple:
     """Pack a backend server into the elements that describe it."""
@@ -123,6 +142,8 @@
         server.warmup,
         server.started,
         server.revision,
+        server.report_number,
+        server.epoch,
     )
 
 
@@ -134,52 +155,76 @@
     ValueError
         If the elements do not describe a backend server.
     """
-    if not isinstance(elements, list) or len(elements) != len(SERVER_TYPES):
-        raise ValueError(f"{elements!r} does not describe a backend server")
-    for element, kind in zip(elements, SERVER_TYPES, strict=True):
-        if type(element) is not kind:
-            raise ValueError(f"{element!r} is not of type {kind.__name__}")
-    name, service, address, zone, slots, leaving, warmup, started, revision = elements
+    _check_types(elements, SERVER_TYPES, "a backend server")
+    name, service, address, zone, *state, revision, report_number, epoch = elements
     return BackendServer(
         ServerId(name),
         ServiceName(service),
         address,
         ZoneName(zone),
-        slots,
-        leaving,
-        warmup,
-        started,
+        *state,
         Revision(revision),
+        report_number,
+        Epoch(epoch),
     )
 
 
-def check_host(host: object) -> None:
-    """Check the address by which a peer introduces itself.
+def pack_removal(removal: Removal) -> tuple:
+    """Pack the removal of a backend server into the elements that describe it."""
+    report = removal.report or NO_REPORT
+    return (removal.server, removal.revision, removal.epoch, *report)
+
+
+def unpack_removal(elements: list) -> Removal:
+    """Unpack the removal of a backend server that a peer describes.
 
     Raises
     ------
     ValueError
-        If the address is not an IP address.
+        If the elements do not describe a removal.
     """
-    if not isinstance(host, str):
-        raise ValueError(f"{host!r} is not an IP address")
-    ipaddress.ip_address(host)
+    _check_types(elements, REMOVAL_TYPES, "a removal")
+    name, revision, epoch, *report = elements
+    known_report = ServerReport(*report)
+    return Removal(
+        ServerId(name),
+        Revision(revision),
+        Epoch(epoch),
+        None if known_report == NO_REPORT else known_report,
+    )
 
 
-def unpack_removals(elements: list) -> list[tuple[ServerId, Revision]]:
-    """Unpack the names of deleted descriptions with their revisions.
+def unpack_position(elements: list) -> StorePosition:
+    """Unpack the position in the store up to which a peer's view is complete.
 
     Raises
     ------
     ValueError
-        If an element is not a name with a revision.
+        If the elements do not describe a position.
     """
-    removals = []
-    for name, revision in elements:
-        if not isinstance(name, str) or not isinstance(revision, int):
-            raise ValueError(f"{name!r}, {revision!r} is not a name with a revision")
-        removals.append((ServerId(name), Revision(revision)))
-    return removals
+    _check_types(elements, POSITION_TYPES, "a position in the store")
+    return StorePosition(*elements)
+
+
+def _check_types(elements: object, types: tuple[type, ...], meaning: str) -> None:
+    if not isinstance(elements, list) or len(elements) != len(types):
+        raise ValueError(f"{elements!r} does not describe {meaning}")
+    for element, kind in zip(elements, types, strict=True):
+        if type(element) is not kind:
+            raise ValueError(f"{element!r} is not of type {kind.__name__}")
+
+
+def check_host(host: object) -> None:
+    """Check the address by which a peer introduces itself.
+
+    Raises
+    ------
+    ValueError
+        If the address is not an IP address.
+    """
+    if not isinstance(host, str):
+        raise ValueError(f"{host!r} is not an IP address")
+    ipaddress.ip_address(host)
 
 
 def pack_document(document: bytes) -> bytes:
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -364,6 +364,7 @@
             "backend_servers": float(len(fleet_view.directory.servers)),
             "descriptions_outdated": float(fleet_view.directory.outdated),
             "store_revision": float(fleet_view.directory.revision),
+            "store_epoch": float(fleet_view.directory.epoch),
             "running": float(load.running),
             "waiting": float(load.waiting),
             "limit": float(load.limit),
@@ -397,7 +398,7 @@
     def _gossip(self) -> None:
         directory = self._fleet_view.directory
         self._executor.update_depth()
-        directory.apply_deferred_removals()
+        directory.apply_deferred()
         self._fleet_view.leaving_announcements.forget_old()
         self._budget.resize(len(directory.hosts()))
         self._selector.retain({server.id for server in directory.servers})
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -16,8 +16,11 @@
     BackendServer,
     FleetConfiguration,
     FleetSource,
+    Freshness,
+    Removal,
     SourceChanges,
     SourceError,
+    StorePosition,
 )
 from damaskramp.relay.fleet_view import FleetView
 from damaskramp.relay.messages import (
@@ -25,9 +28,11 @@
     Kind,
     check_host,
     pack_document,
+    pack_removal,
     pack_server,
     unpack_document,
-    unpack_removals,
+    unpack_position,
+    unpack_removal,
     unpack_server,
 )
 from damaskramp.relay.outcome_sink import Cancel, OutcomeSink
@@ -54,6 +59,9 @@
 """Time, in seconds, for which a node that has announced that it is leaving gets no
 calls: a little more than a stop may take. A node that has started again says so."""
 
+MAX_PROOF_AGE_SECONDS = 1e6
+"""Age in seconds above which there is no proof."""
+
 MAX_SERVERS_PER_PONG = 2000
 """Most backend servers in one answer to a ping, about 200 KB."""
 
@@ -184,13 +192,19 @@
             self._fleet_view.version,
             document,
             [pack_server(server) for server in changes.servers],
-            list(changes.removed),
+            [pack_removal(self._known_removal(one)) for one in changes.removed],
         )
         for host in self._broadcast_targets():
             link = self._link(host)
             if link is not None:
                 link.send(update)
 
+    def _known_removal(self, removal: Removal) -> Removal:
+        """Complete a removal with the server's report, which the store doesn't say."""
+        known = self._fleet_view.directory.removal_of(removal.server)
+        same = known is not None and known[:3] == removal[:3]
+        return known if same else removal
+
     def _broadcast_targets(self) -> list[str]:
         """Choose some hosts of the own zone; other zones have readers of their own."""
         fleet_view = self._fleet_view
@@ -214,7 +228,8 @@
         if version > self._fleet_view.version:
             self._adopt_document(document)
         self._fleet_view.directory.merge(
-            [unpack_server(server) for server in servers], unpack_removals(removed)
+            [unpack_server(server) for server in servers],
+            [unpack_removal(removal) for removal in removed],
         )
 
     def close(self) -> None:
@@ -225,7 +240,8 @@
 
     def answer_ping(self, ping: list) -> tuple:
         """Record the sender of a ping; return the fields of the answer."""
-        _, asked_at, host, version, revision, leaving = ping
+        _, asked_at, host, version, epoch, revision, leaving = ping
+        known = unpack_position([epoch, revision])
         self._record_peer(host, leaving)
         fleet_view = self._fleet_view
         configuration = fleet_view.configuration
@@ -233,23 +249,25 @@
         if configuration is not None and configuration.version > version:
             document = self._packed(configuration)
         directory = fleet_view.directory
-        servers: list[tuple] = []
-        removed: list[tuple] = []
-        if directory.revision > revision or version == 0:
-            servers = [
-                pack_server(s) for s in directory.servers if s.revision > revision
-            ]
-            removed = [(n, r) for n, r in directory.removed if r > revision]
-        age = fleet_view.freshness.age
+        # A peer that follows another epoch can't say what it lacks.
+        is_whole = known.epoch != directory.epoch or version == 0
+        if is_whole:
+            servers, removed = list(directory.servers), list(directory.removed)
+        else:
+            servers, removed = directory.changes_after(known.revision)
+        fits = len(servers) <= MAX_SERVERS_PER_PONG
         deaths = fleet_view.suspects.recent_deaths(self._clock())
         return (
             asked_at,
             fleet_view.version,
-            age if age < 1e6 else -1.0,
+            _packed_age(fleet_view.freshness),
             document,
-            servers[:MAX_SERVERS_PER_PONG],
-            removed,
-            directory.revision if len(servers) <= MAX_SERVERS_PER_PONG else 0,
+            [pack_server(server) for server in servers[:MAX_SERVERS_PER_PONG]],
+            [pack_removal(removal) for removal in removed],
+            directory.epoch,
+            _packed_age(fleet_view.epoch_freshness),
+            directory.revision if fits else 0,
+            is_whole and fits,
             [(death.fingerprint, death.server) for death in deaths],
             self.leaving,
         )
@@ -283,7 +301,10 @@
             document,
             servers,
             removed,
+            epoch,
+            epoch_age,
             revision,
+            is_whole,
             deaths,
             leaving,
         ) = message
@@ -295,16 +316,46 @@
         # configuration current only if that is no older.
         if age >= 0 and fleet_view.version >= version:
             fleet_view.freshness.confirm_by_peer(asked_at, age)
-        if servers or removed or revision:
-            fleet_view.directory.merge(
-                [unpack_server(server) for server in servers],
-                unpack_removals(removed),
-                revision or None,
-            )
+        self._merge_directory(
+            [unpack_server(server) for server in servers],
+            [unpack_removal(removal) for removal in removed],
+            unpack_position([epoch, revision]),
+            asked_at - epoch_age if epoch_age >= 0 else float("-inf"),
+            is_whole,
+        )
         fleet_view.suspects.record_deaths(
             (Death(*death) for death in deaths), self._clock()
         )
 
+    def _merge_directory(
+        self,
+        servers: list[BackendServer],
+        removed: list[Removal],
+        position: StorePosition,
+        stated_at: float,
+        is_whole: bool,
+    ) -> None:
+        """Merge a peer's directory; follow its epoch if the store stated it later."""
+        fleet_view = self._fleet_view
+        directory = fleet_view.directory
+        if fleet_view.states_later_epoch(position.epoch, stated_at):
+            if not is_whole:
+                return
+            LOGGER.info(
+                "platform's data restored, says a node",
+                extra={
+                    "epoch": position.epoch,
+                    "revision": position.revision,
+                    "previous_epoch": directory.epoch,
+                    "previous_revision": directory.revision,
+                },
+            )
+            directory.replace(servers, position, removed)
+        else:
+            directory.merge(servers, removed, position)
+        if position.epoch == directory.epoch:
+            fleet_view.epoch_freshness.confirm(stated_at)
+
     def _adopt_document(self, document: bytes) -> None:
         if not document:
             return
@@ -342,7 +393,7 @@
             fleet_view.freshness.now,
             fleet_view.host,
             fleet_view.version,
-            fleet_view.directory.revision,
+            *fleet_view.directory.position,
             self.leaving,
         )
 
@@ -387,6 +438,11 @@
             self._unreachable.discard(host)
 
 
+def _packed_age(proof: Freshness) -> float:
+    """Age of a proof in seconds for a message; -1 if there is none."""
+    return proof.age if proof.age < MAX_PROOF_AGE_SECONDS else -1.0
+
+
 def _cancel_unsent() -> bool:
     """Cancel a call that was not sent."""
     return True
--- a/damaskramp/relay/tests/test_watcher.py
+++ b/damaskramp/relay/tests/test_watcher.py
@@ -11,9 +11,11 @@
     FleetConfiguration,
     FleetSource,
     Freshness,
+    Removal,
     SourceChanges,
     SourceError,
     SourceSnapshot,
+    StorePosition,
 )
 from damaskramp.relay.fleet_view import FleetView
 from damaskramp.relay.watcher import Watcher, WatcherSettings
@@ -56,11 +58,14 @@
         self._check()
         configuration = FleetConfiguration(1, (), ()) if self.published else None
         return SourceSnapshot(
-            configuration, tuple(self.servers.values()), self.revision
+            configuration,
+            tuple(self.servers.values()),
+            StorePosition(0, self.revision),
         )
 
-    async def changes(self, after, seconds):
+    async def changes(self, position, seconds):
         self._check()
+        after = position.revision
         is_watch = seconds > 0
         end = self._timers.now + seconds
         while True:
@@ -73,8 +78,8 @@
                 break
             await self._timers.sleep(STEP_SECONDS)
         servers = tuple(s for s in self.servers.values() if s.revision > after)
-        removed = tuple((n, r) for n, r in self.removed.items() if r > after)
-        return SourceChanges(None, servers, removed, self.revision)
+        removed = tuple(Removal(n, r) for n, r in self.removed.items() if r > after)
+        return SourceChanges(None, servers, removed, StorePosition(0, self.revision))
 
     def decode(self, document):
         raise SourceError("not used here")
@@ -116,6 +121,7 @@
                 Suspects(SuspectSettings()),
             )
             self.fleet_view.freshness = Freshness(clock)
+            self.fleet_view.epoch_freshness = Freshness(clock)
             self.broadcasts = []
             watcher = Watcher(
                 self.SETTINGS,
@@ -217,4 +223,4 @@
         )
 
     def apply_deferred_removals(self):
-        self.fleet_view.directory.apply_deferred_removals()
+        self.fleet_view.directory.apply_deferred()
--- a/damaskramp/relay/watcher.py
+++ b/damaskramp/relay/watcher.py
@@ -15,15 +15,15 @@
 
 from damaskramp.core import Counters, TimerService
 from damaskramp.fleet import (
-    Epoch,
     FleetConfiguration,
     FleetSource,
-    Revision,
     RevisionExpiredError,
     SourceBusyError,
     SourceChanges,
     SourceError,
+    StorePosition,
 )
+from damaskramp.fleet.directory import REREGISTRATION_SECONDS
 from damaskramp.relay.fleet_view import FleetView
 
 __all__ = ["Watcher", "WatcherSettings"]
@@ -42,10 +42,6 @@
 may have expired. It is their shortest lifetime without a heartbeat, less one interval
 between heartbeats and one interval between polls."""
 
-REREGISTRATION_SECONDS = 2.0
-"""Time after the platform's return, in seconds, within which live servers are described
-again, according to the platform."""
-
 POLL_JITTER = 0.2
 """Relative jitter of the interval between polls, so that readers don't ask together."""
 
@@ -111,8 +107,7 @@
         self._timers = timers
         self._counters = counters
         self._random = random_source
-        self._revision: Revision | None = None
-        self._epoch: Epoch | None = None
+        self._position: StorePosition | None = None
         self._next_poll = float("-inf")
         self._watch: asyncio.Task[None] | None = None
         self._reachable: bool | None = None
@@ -135,7 +130,7 @@
                 await self._timers.sleep(CHECK_INTERVAL_SECONDS)
                 continue
             asked_at = self._timers.now
-            work = self._read_snapshot if self._revision is None else self._catch_up
+            work = self._read_snapshot if self._position is None else self._catch_up
             if await self._read(work, asked_at):
                 pause = settings.min_backoff_seconds
                 self._next_poll = asked_at + self._poll_pause()
@@ -151,7 +146,7 @@
         return self._settings.poll_seconds * jitter_factor
 
     def _poll_is_due(self) -> bool:
-        if self._revision is None:
+        if self._position is None:
             return True
         if self._timers.now < self._next_poll:
             return False
@@ -168,7 +163,9 @@
             await work()
         except RevisionExpiredError:
             self._counters.add("source_history_lost")
-            self._revision = None
+            if self._position is None:
+                return False
+            self._position = None
         except SourceError as error:
             self._record_lost(asked_at, error)
             busy = isinstance(error, SourceBusyError)
@@ -178,7 +175,7 @@
             # An answer must not stop the reader, whatever its content.
             self._counters.add("source_errors", reason="unreadable")
             LOGGER.error("platform's answer unreadable", extra={"cause": repr(error)})
-            self._revision = None
+            self._position = None
             return False
         self._record_reached()
         return True
@@ -186,15 +183,15 @@
     async def _watch_changes(self) -> None:
         """Keep a watch open while this node reads the platform for its zone."""
         while True:
-            if self._revision is None or not self._reachable or not self._is_reader():
+            if self._position is None or not self._reachable or not self._is_reader():
                 await self._timers.sleep(CHECK_INTERVAL_SECONDS)
                 continue
-            before = self._revision
+            before = self._position
             work = self._read_changes(self._settings.watch_seconds)
             self._watch = asyncio.get_running_loop().create_task(work)
             try:
                 await self._watch
-                if self._revision != before:
+                if self._position != before:
                     await self._timers.sleep(UPDATE_PAUSE_SECONDS)
             except asyncio.CancelledError:
                 if asyncio.current_task().cancelling():
@@ -204,7 +201,7 @@
                 self._counters.add("source_errors", reason="watch_behind")
             except RevisionExpiredError:
                 self._counters.add("source_history_lost")
-                self._revision = None
+                self._position = None
             except Exception as error:
                 # The next poll shows whether the platform is lost.
                 self._counters.add("source_errors", reason="watch_broken")
@@ -214,19 +211,19 @@
 
     async def _catch_up(self) -> None:
         """Poll for changes; cancel a watch that should have returned them."""
-        before = self._revision
+        before = self._position
         watch = self._watch
         await self._read_changes(0.0)
-        if self._revision != before and watch is not None and watch is self._watch:
+        if self._position != before and watch is not None and watch is self._watch:
             watch.cancel()
 
     async def _read_snapshot(self) -> None:
         fleet_view = self._fleet_view
         asked_at = fleet_view.freshness.now
         snapshot = await self._source.snapshot()
-        self._record_epoch(snapshot.epoch, snapshot.revision)
         self._defer_removals_after_outage()
-        fleet_view.directory.replace(snapshot.servers, snapshot.revision)
+        self._follow_epoch(snapshot.position, asked_at)
+        fleet_view.directory.replace(snapshot.servers, snapshot.position)
         self._adopt_configuration(snapshot.configuration, snapshot.problem)
         if snapshot.configuration is not None:
             fleet_view.freshness.confirm(asked_at)
@@ -235,37 +232,67 @@
             extra={
                 "version": fleet_view.version,
                 "servers": len(snapshot.servers),
-                "revision": snapshot.revision,
-                "epoch": snapshot.epoch,
+                "revision": snapshot.position.revision,
+                "epoch": snapshot.position.epoch,
             },
         )
-        self._revision = snapshot.revision
+        self._position = snapshot.position
 
     async def _read_changes(self, seconds: float) -> None:
         """Read and apply changes; wait for them up to `seconds`."""
         fleet_view = self._fleet_view
         asked_at = fleet_view.freshness.now
-        changes = await self._source.changes(self._revision, seconds)
-        self._record_epoch(changes.epoch, changes.revision)
+        changes = await self._source.changes(self._position, seconds)
         self._defer_removals_after_outage()
-        fleet_view.directory.merge(changes.servers, changes.removed, changes.revision)
+        self._follow_epoch(changes.position, asked_at)
+        fleet_view.directory.merge(changes.servers, changes.removed, changes.position)
         self._adopt_configuration(changes.configuration, changes.problem)
         # A configuration that can't be read may have withdrawn a key.
         if fleet_view.configuration is not None and not self._unreadable:
             fleet_view.freshness.confirm(asked_at)
-        if self._revision is None or changes.revision <= self._revision:
+        if self._position is None or changes.position <= self._position:
             return
-        self._revision = changes.revision
+        self._position = changes.position
         if changes.configuration is not None or changes.servers or changes.removed:
             self._broadcast_changes(changes)
         for server in changes.servers:
             if server.leaving:
                 LOGGER.info("backend server is leaving", extra={"server": server.id})
-        for name, at in changes.removed:
+        for removal in changes.removed:
             LOGGER.info(
-                "backend server removed", extra={"server": name, "revision": at}
+                "backend server removed",
+                extra={"server": removal.server, "revision": removal.revision},
             )
 
+    def _follow_epoch(self, position: StorePosition, asked_at: float) -> None:
+        """Record the epoch of an answer.
+
+        Raises
+        ------
+        RevisionExpiredError
+            If a peer has learned of another epoch since the answer was asked for.
+        """
+        fleet_view = self._fleet_view
+        followed = fleet_view.directory.position
+        if followed.epoch != position.epoch:
+            if not fleet_view.states_later_epoch(position.epoch, asked_at):
+                raise RevisionExpiredError(f"epoch {followed.epoch} is later")
+            if followed.revision:
+                self._record_restore(position, followed)
+        fleet_view.epoch_freshness.confirm(asked_at)
+
+    def _record_restore(self, position: StorePosition, before: StorePosition) -> None:
+        self._counters.add("source_restores")
+        LOGGER.info(
+            "platform's data restored",
+            extra={
+                "epoch": position.epoch,
+                "revision": position.revision,
+                "previous_epoch": before.epoch,
+                "previous_revision": before.revision,
+            },
+        )
+
     def _defer_removals_after_outage(self) -> None:
         lost_at, self._lost_at = self._lost_at, None
         if lost_at is not None and self._timers.now - lost_at > MIN_OUTAGE_SECONDS:
@@ -295,20 +322,6 @@
                 },
             )
 
-    def _record_epoch(self, epoch: Epoch, revision: Revision) -> None:
-        if self._epoch is not None and epoch != self._epoch:
-            self._counters.add("source_restores")
-            LOGGER.info(
-                "platform's data restored",
-                extra={
-                    "epoch": epoch,
-                    "revision": revision,
-                    "previous_epoch": self._epoch,
-                    "previous_revision": self._revision,
-                },
-            )
-        self._epoch = epoch
-
     def _record_reached(self) -> None:
         if not self._reachable:
             self._reachable = True
--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -132,6 +132,7 @@
                 fleet, lambda view: view.directory.is_listed("i-1")
             )
             fleet.store.restore(copy)
+            self.write_versions(fleet, [39])
             await asyncio.sleep(3.0)
             left_out = await self.runs_of(fleet, 1)
             fleet.list_server(1, born=5000, sequence=9)
