A host without old deletions doesn't hide them from its peers

Found by a property test of any history of the store, its restores and the gossip of three hosts, with 15,000 examples: a host that has just read the whole list knows no earlier deletion, but told a peer that was behind that the peer was complete up to its own revision. The peer then listed a server that was gone until the store or another host said so again.

Completeness was taken from a revision, whatever the sender knew of what lay before it; a deferred removal was lost to peers in the same way, since they were complete up to its revision when it was applied.

Change: a directory knows since which revision it knows all deletions, and gives a peer that is further behind the whole list. Removals that come late (deferred, or of an earlier epoch) are handed on for 30 s.

--- a/damaskramp/fleet/__init__.py
+++ b/damaskramp/fleet/__init__.py
@@ -1,7 +1,7 @@
 """View that a host has of the fleet: configuration, backend servers and freshness."""
 
 from damaskramp.fleet.announcements import LeavingAnnouncements
-from damaskramp.fleet.directory import Directory
+from damaskramp.fleet.directory import Directory, DirectoryUpdate
 from damaskramp.fleet.freshness import Freshness, boot_clock
 from damaskramp.fleet.model import (
     NO_EPOCH,
@@ -32,6 +32,7 @@
     "BackendServer",
     "CallerLimits",
     "Directory",
+    "DirectoryUpdate",
     "Epoch",
     "FleetConfiguration",
     "FleetSource",
--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -18,6 +18,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from damaskramp.core.ids import ServiceName, ZoneName
 from damaskramp.fleet.model import (
@@ -30,17 +31,16 @@
     StorePosition,
 )
 
-__all__ = ["REREGISTRATION_SECONDS", "Directory"]
+__all__ = ["REREGISTRATION_SECONDS", "Directory", "DirectoryUpdate"]
 
 TOMBSTONE_SECONDS = 600.0
 """Time for which a deletion is remembered. It is longer than a peer that serves traffic
 can be cut off before it hands on the old description, and than a copy from which the
 store is restored is old."""
 
-RECENT_REMOVAL_SECONDS = 5.0
-"""Time for which a removal is handed on whatever its revision. Gossip reaches all hosts
-within this time. Peers that are complete up to its revision lack a removal that was
-deferred, or one of an earlier epoch."""
+LATE_REMOVAL_SECONDS = 30.0
+"""Time for which a late removal is handed on whatever its revision. Gossip reaches all
+hosts within a few seconds, and those that were cut off soon after their return."""
 
 REREGISTRATION_SECONDS = 2.0
 """Time after the platform's return, in seconds, within which live servers are described
@@ -63,6 +63,23 @@
 """
 
 
+class DirectoryUpdate(NamedTuple):
+    """What one directory tells another.
+
+    Attributes
+    ----------
+    position : StorePosition
+        Position up to which the other directory is complete with this update.
+    is_whole : bool
+        Whether all servers are listed, so that one that is missing doesn't exist.
+    """
+
+    servers: list[BackendServer]
+    removed: list[Removal]
+    position: StorePosition
+    is_whole: bool
+
+
 class Directory:
     """Descriptions of backend servers by id.
 
@@ -76,6 +93,7 @@
         self._clock = clock
         self._servers: dict[ServerId, BackendServer] = {}
         self._removed: dict[ServerId, tuple[Removal, float]] = {}
+        self._late: dict[ServerId, Removal] = {}
         self._overridden: dict[ServerId, tuple[BackendServer, float]] = {}
         self._by_service: dict[ServiceName, list[BackendServer]] = {}
         self._hosts_last_listed: dict[str, tuple[float, ZoneName]] = {}
@@ -83,6 +101,7 @@
         self._defer_until = float("-inf")
         self._position = StorePosition(NO_EPOCH, Revision(0))
         self._epoch_start = Revision(0)
+        self._deletions_known_after = Revision(0)
         self._earlier: tuple[BackendServer, ...] = ()
         self._generation = 0
         self._outdated = 0
@@ -123,31 +142,49 @@
         """Deletions that are still remembered."""
         return tuple(removal for removal, _ in self._removed.values())
 
-    def changes_after(
-        self, revision: Revision
-    ) -> tuple[list[BackendServer], list[Removal]]:
-        """Changes that a peer which follows the same epoch may lack.
+    def update_for(self, position: StorePosition) -> DirectoryUpdate:
+        """Collect what a peer lacks that is complete up to a position.
+
+        The update is whole if the peer follows another epoch, or lacks deletions that
+        this directory has never known or has forgotten.
+        """
+        epoch, revision = position
+        if epoch != self.epoch or revision < self._deletions_known_after:
+            return DirectoryUpdate(
+                list(self._servers.values()), list(self.removed), self._position, True
+            )
+        servers, removed = list(self._earlier), list(self._late.values())
+        if self.revision > revision:
+            removed += [
+                removal
+                for removal, _ in self._removed.values()
+                if removal.epoch == epoch and removal.revision > revision
+            ]
+            servers += [
+                server
+                for server in self._servers.values()
+                if server.epoch == epoch and server.revision > revision
+            ]
+        return DirectoryUpdate(servers, removed, self._position, False)
+
+    def apply_update(self, update: DirectoryUpdate, states_later_epoch: bool) -> bool:
+        """Apply an update of a peer; return whether the directory changed.
 
         Parameters
         ----------
-        revision : Revision
-            Revision up to which the peer's directory is complete.
+        states_later_epoch : bool
+            Whether the store stated the peer's epoch later than the one that this
+            directory follows.
         """
-        oldest = self._clock() - RECENT_REMOVAL_SECONDS
-        epoch = self.epoch
-        removed = [
-            removal
-            for removal, at in self._removed.values()
-            if at > oldest or (removal.epoch == epoch and removal.revision > revision)
-        ]
-        if self.revision <= revision:
-            return list(self._earlier), removed
-        servers = [
-            server
-            for server in self._servers.values()
-            if server.epoch != epoch or server.revision > revision
-        ]
-        return servers, removed
+        servers, removed, position, is_whole = update
+        if position.epoch != self.epoch and states_later_epoch:
+            return is_whole and self.replace(servers, position, removed)
+        if is_whole and position.epoch == self.epoch:
+            removed = [*removed, *self._missing_from(servers, position)]
+            self._deletions_known_after = max(
+                self._deletions_known_after, position.revision
+            )
+        return self.merge(servers, removed, position)
 
     def removal_of(self, server: ServerId) -> Removal | None:
         """Deletion of a server's description; None if none is remembered."""
@@ -194,6 +231,9 @@
         The return value tells whether the directory changed.
         """
         now = self._clock()
+        for name in list(self._late):
+            if now - self._removed[name][1] > LATE_REMOVAL_SECONDS:
+                del self._late[name]
         changed = self._restore_overridden(now - OVERRIDE_SECONDS)
         if not self._deferred or now < self._defer_until:
             return changed
@@ -261,13 +301,8 @@
         enters_epoch = position.epoch != self.epoch
         if enters_epoch:
             self._enter_epoch(position)
-        listed = {server.id for server in servers}
-        missing = [
-            Removal(name, position.revision, position.epoch, server.report)
-            for name, server in self._servers.items()
-            if name not in listed
-            and (server.epoch != self.epoch or server.revision <= position.revision)
-        ]
+        missing = self._missing_from(servers, position)
+        self._deletions_known_after = position.revision
         # Servers that the store lists exist, whatever peers have reported, so they
         # skip the check for known deletions.
         changed = self._merge(servers, [*removed, *missing], position)
@@ -275,6 +310,18 @@
             self._rebuild()
         return changed or enters_epoch
 
+    def _missing_from(
+        self, servers: list[BackendServer], position: StorePosition
+    ) -> list[Removal]:
+        """Removals of the servers that a complete list lacks."""
+        listed = {server.id for server in servers}
+        return [
+            Removal(name, position.revision, position.epoch, server.report)
+            for name, server in self._servers.items()
+            if name not in listed
+            and (server.epoch != self.epoch or server.revision <= position.revision)
+        ]
+
     def _enter_epoch(self, position: StorePosition) -> None:
         self._position = position
         self._epoch_start = position.revision
@@ -321,11 +368,15 @@
             if server.epoch == self.epoch and removal.epoch != self.epoch:
                 self._overridden.setdefault(server.id, (server, self._clock()))
             return False
-        self._removed.pop(server.id, None)
+        self._forget_removal(server.id)
         self._overridden.pop(server.id, None)
         self._servers[server.id] = server
         return True
 
+    def _forget_removal(self, server: ServerId) -> None:
+        self._removed.pop(server, None)
+        self._late.pop(server, None)
+
     def _remove_server(self, removal: Removal) -> bool:
         name = removal.server
         known = self._servers.get(name)
@@ -339,6 +390,11 @@
         elif not self._is_later_removal(removal):
             return False
         self._removed[name] = (removal, self._clock())
+        if removal.epoch != self.epoch or removal.revision <= self.revision:
+            # Peers that are complete up to its revision may lack it.
+            self._late[name] = removal
+        else:
+            self._late.pop(name, None)
         if removal.epoch == self.epoch:
             self._overridden.pop(name, None)
         if known is None:
@@ -356,7 +412,7 @@
         ]
         for server in restored:
             del self._overridden[server.id]
-            self._removed.pop(server.id, None)
+            self._forget_removal(server.id)
             self._servers[server.id] = server
         if restored:
             self._rebuild()
@@ -422,6 +478,10 @@
         self._earlier = tuple(
             server for server in self._servers.values() if server.epoch != self.epoch
         )
-        for name, (_, deleted_at) in list(self._removed.items()):
+        for name, (removal, deleted_at) in list(self._removed.items()):
             if now - deleted_at > TOMBSTONE_SECONDS:
-                del self._removed[name]
+                self._forget_removal(name)
+                if removal.epoch == self.epoch:
+                    self._deletions_known_after = max(
+                        self._deletions_known_after, removal.revision
+                    )
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -16,13 +16,13 @@
 from damaskramp.dispatch import Death
 from damaskramp.fleet import (
     BackendServer,
+    DirectoryUpdate,
     FleetConfiguration,
     FleetSource,
     Freshness,
     Removal,
     SourceChanges,
     SourceError,
-    StorePosition,
 )
 from damaskramp.relay.fleet_view import FleetView
 from damaskramp.relay.messages import (
@@ -268,26 +268,21 @@
         document = b""
         if configuration is not None and configuration.version > version:
             document = self._packed(configuration)
-        directory = fleet_view.directory
-        # A peer that follows another epoch can't say what it lacks.
-        is_whole = known.epoch != directory.epoch or version == 0
-        if is_whole:
-            servers, removed = list(directory.servers), list(directory.removed)
-        else:
-            servers, removed = directory.changes_after(known.revision)
-        fits = len(servers) <= MAX_SERVERS_PER_PONG
+        update = fleet_view.directory.update_for(known)
+        servers = update.servers[:MAX_SERVERS_PER_PONG]
+        fits = len(servers) == len(update.servers)
         deaths = fleet_view.suspects.recent_deaths(self._clock())
         return (
             asked_at,
             fleet_view.version,
             _packed_age(fleet_view.freshness),
             document,
-            [pack_server(server) for server in servers[:MAX_SERVERS_PER_PONG]],
-            [pack_removal(removal) for removal in removed],
-            directory.epoch,
+            [pack_server(server) for server in servers],
+            [pack_removal(removal) for removal in update.removed],
+            update.position.epoch,
             _packed_age(fleet_view.epoch_freshness),
-            directory.revision if fits else 0,
-            is_whole and fits,
+            update.position.revision if fits else 0,
+            update.is_whole and fits,
             [(death.fingerprint, death.server) for death in deaths],
             self.leaving,
         )
@@ -338,44 +333,35 @@
             if fleet_view.version == version:
                 fleet_view.freshness.confirm_by_peer(asked_at, age)
             self._informed.set()
-        self._merge_directory(
+        update = DirectoryUpdate(
             [unpack_server(server) for server in servers],
             [unpack_removal(removal) for removal in removed],
             unpack_position([epoch, revision]),
-            asked_at - epoch_age if epoch_age >= 0 else float("-inf"),
             is_whole,
         )
+        stated_at = asked_at - epoch_age if epoch_age >= 0 else float("-inf")
+        self._apply_update(update, stated_at)
         fleet_view.suspects.record_deaths(
             (Death(*death) for death in deaths), self._clock()
         )
 
-    def _merge_directory(
-        self,
-        servers: list[BackendServer],
-        removed: list[Removal],
-        position: StorePosition,
-        stated_at: float,
-        is_whole: bool,
-    ) -> None:
-        """Merge a peer's directory; follow its epoch if the store stated it later."""
+    def _apply_update(self, update: DirectoryUpdate, stated_at: float) -> None:
+        """Apply a peer's update; the store stated the peer's epoch at a given time."""
         fleet_view = self._fleet_view
-        directory = fleet_view.directory
-        if fleet_view.states_later_epoch(position.epoch, stated_at):
-            if not is_whole:
-                return
+        directory, before = fleet_view.directory, fleet_view.directory.position
+        is_later = fleet_view.states_later_epoch(update.position.epoch, stated_at)
+        directory.apply_update(update, is_later)
+        if directory.epoch != before.epoch:
             LOGGER.info(
                 "platform's data restored, says a node",
                 extra={
-                    "epoch": position.epoch,
-                    "revision": position.revision,
-                    "previous_epoch": directory.epoch,
-                    "previous_revision": directory.revision,
+                    "epoch": directory.epoch,
+                    "revision": directory.revision,
+                    "previous_epoch": before.epoch,
+                    "previous_revision": before.revision,
                 },
             )
-            directory.replace(servers, position, removed)
-        else:
-            directory.merge(servers, removed, position)
-        if position.epoch == directory.epoch:
+        if update.position.epoch == directory.epoch:
             fleet_view.epoch_freshness.confirm(stated_at)
 
     def _adopt_document(self, document: bytes) -> None:
