Planned stop: refuse late requests that may outlast it

Cause: a stopping node takes requests for 3.5 s of a grace of 6 s and ends at 5.5 s, whatever they may take.

Change: from 3 s on (a part of a shorter grace) a request whose deadline lies behind the stop is answered 503, not run, with the time until the stop as Retry-After. Calls of servers, which belong to requests that already run, are refused only if calls of their route take as long.

Evidence: the test failed before (the late requests ran) and passes; the other five tests of stops pass.

--- a/damaskramp/relay/forwarded_request.py
+++ b/damaskramp/relay/forwarded_request.py
@@ -112,6 +112,10 @@
             timeout = min(timeout, request.deadline_ms / 1000)
         self._deadline = request.started + timeout
         self._target = request.started + route.latency_target
+        wait = forwarder.wait_for_stop(route.name, self._deadline, self._is_call)
+        if wait is not None:
+            self._refuse(Reason.STOPPING, wait)
+            return
         request.on_disconnect = self._caller_disconnected
         loop = asyncio.get_running_loop()
         remaining = self._deadline - forwarder.clock()
--- a/damaskramp/relay/forwarding.py
+++ b/damaskramp/relay/forwarding.py
@@ -23,6 +23,11 @@
 __all__ = ["Forwarder"]
 
 
+MIN_STOP_RETRY_SECONDS = 0.1
+"""Shortest time, in seconds, after which a caller is told to come again when a node
+stops."""
+
+
 class Forwarder(RequestHandler):
     """Handler of callers' requests, with the state that they all share."""
 
@@ -55,6 +60,35 @@
         self.route_times = RouteTimes()
         self.depths = executor.depths
         self.placement = PlacementSettings()
+        self._stops_at: float | None = None
+
+    def announce_stop(self, stops_at: float) -> None:
+        """Refuse requests that may still run when the node stops.
+
+        Parameters
+        ----------
+        stops_at : float
+            Clock time in seconds at which requests without an answer are cut.
+        """
+        self._stops_at = stops_at
+
+    def wait_for_stop(self, route: str, deadline: float, is_call: bool) -> float | None:
+        """Seconds until the node stops, if a new request may outlast it; else None.
+
+        A call belongs to a request that already runs, so only one that usually takes
+        as long is refused.
+
+        Parameters
+        ----------
+        deadline : float
+            Clock time in seconds after which nobody waits for the answer.
+        """
+        if self._stops_at is None or deadline <= self._stops_at:
+            return None
+        remaining = self._stops_at - self.clock()
+        if is_call and not self.route_times.is_tight(route, remaining):
+            return None
+        return max(remaining, MIN_STOP_RETRY_SECONDS)
 
     def handle(self, request: CallerRequest) -> None:
         """Forward a complete request."""
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -107,9 +107,15 @@
 """Time after the start of a stop, in seconds, in which the backend server still gets
 calls. Calls that run after it have the rest of the grace time."""
 
+START_REQUESTS_SECONDS = 3.0
+"""Time after the start of a stop, in seconds, in which requests are passed on however
+long they may run. Later ones that may outlast the stop are refused unrun, since a cut
+request has an unknown outcome."""
+
 ACCEPT_CALLS_SHARE, ACCEPT_CALLERS_SHARE = 0.35, 0.6
-"""Bounds on ``ACCEPT_CALLS_SECONDS`` and ``ACCEPT_CALLERS_SECONDS`` as parts of a short
-grace time. The rest of the grace time is for the requests that run."""
+"""Bounds on ``ACCEPT_CALLS_SECONDS``, and on ``ACCEPT_CALLERS_SECONDS`` and
+``START_REQUESTS_SECONDS``, as parts of a short grace time. The rest of the grace time
+is for the requests that run."""
 
 FINAL_READ_SECONDS = 0.1
 """Time, in seconds, between closing the listener and closing idle connections."""
@@ -275,6 +281,9 @@
         accept_until = started_at + min(
             ACCEPT_CALLERS_SECONDS, ACCEPT_CALLERS_SHARE * grace
         )
+        start_until = min(started_at + START_REQUESTS_SECONDS, accept_until)
+        await self._timers.sleep(start_until - self._timers.now)
+        self._forwarder.announce_stop(stop_by)
         await self._timers.sleep(accept_until - self._timers.now)
         self._caller_server.close()
         # Requests that arrived on open connections are read before these are closed.
--- a/tests/test_relay_stops.py
+++ b/tests/test_relay_stops.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from tests.relay_fleet import RelayTestCase, field, ok, read_answer
 
@@ -134,3 +135,39 @@
 
         got = self.run_scenario(scenario, ("svc", "svc"))
         self.assertEqual(([200] * 3, [None, None, "close"]), got)
+
+    def test_late_request_is_refused_unrun_rather_than_cut_at_the_end(self):
+        async def very_slow(request):
+            await asyncio.sleep(2.6)
+            return ok(request)
+
+        async def scenario(fleet):
+            settings = dataclasses.replace(fleet.settings(0), grace_seconds=6.0)
+            fleet.nodes[0].reload(settings)
+            stopping = asyncio.ensure_future(fleet.nodes[0].stop())
+            await asyncio.sleep(0.5)
+            early = asyncio.ensure_future(fleet.ask("/once/a", request_id="early"))
+            await asyncio.sleep(2.6)
+            paths = ("/a", "/once/a")
+            late = await asyncio.gather(*(self.ask_late(fleet, path) for path in paths))
+            early_status = (await early)[0]
+            await stopping
+            ids = [field(request, "x-request-id") for request in fleet.servers[1].seen]
+            return early_status, late, ids, stopping.result()
+
+        # The request comes to the node that stops and would run at the other one.
+        services = ("other", "svc")
+        got = self.run_scenario(scenario, services, scripts=[None, very_slow])
+        self.assertEqual((200, [(503, True)] * 2, ["early"], True), got)
+
+    async def ask_late(self, fleet, path):
+        """Return the status, and whether the answer says when to come again."""
+        reader, writer = await fleet.connect()
+        writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late\r\n"
+            "X-Timeout-Ms: 5000\r\nAuthorization: Token key-1\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        status, head, body = await read_answer(reader)
+        writer.close()
+        return status, b"not-run" in body and field(head, "retry-after") is not None
