HTTP client: close connections with bytes that nobody asked for

Cause: here a node of the product's own interface, and every other user of HttpClient, took a second copy of an answer for the answer to the next request of the connection: h11 kept the bytes over the cycle, the stream reader those that came while the connection was idle.

Change: a connection is reused only if nothing has arrived beyond its answer.

--- a/damaskramp/http/client.py
+++ b/damaskramp/http/client.py
@@ -1,7 +1,8 @@
 """HTTP client with a pool of connections to one address.
 
 A connection carries one request at a time. A connection whose answer was abandoned or
-broken is closed and never used again, so no request can receive the answer of another.
+broken, or on which more arrived than its answer, is closed and never used again, so no
+request can receive the answer of another.
 """
 
 import asyncio
@@ -50,17 +51,34 @@
     detail: str = ""
 
 
+class _CountingReader(asyncio.StreamReader):
+    """Stream reader that knows how many bytes have arrived and are not read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.unread_bytes = 0
+
+    def feed_data(self, data: bytes) -> None:
+        self.unread_bytes += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        data = await super().read(n)
+        self.unread_bytes -= len(data)
+        return data
+
+
 class _Connection:
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    def __init__(self, reader: _CountingReader, writer: asyncio.StreamWriter) -> None:
         self.reader = reader
         self.writer = writer
         self.h11 = h11.Connection(h11.CLIENT)
 
     @property
     def reusable(self) -> bool:
-        return not self.reader.at_eof() and not self.writer.is_closing()
+        has_unasked_bytes = self.reader.unread_bytes or self.h11.trailing_data[0]
+        ended = self.reader.at_eof() or self.writer.is_closing()
+        return not has_unasked_bytes and not ended
 
     def close(self) -> None:
         self.writer.close()
@@ -174,7 +192,13 @@
         return None
 
     async def _connect(self) -> _Connection:
-        return _Connection(*await asyncio.open_connection(self._host, self._port))
+        loop = asyncio.get_running_loop()
+        reader = _CountingReader()
+        transport, protocol = await loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(reader), self._host, self._port
+        )
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        return _Connection(reader, writer)
 
     def _abort(self, connection: _Connection | None) -> None:
         if connection is not None:
