Tests: copied refusals and heads that are cut

A refusal that is written again, with the first one or before the answers of later requests on the kept connection, is told to none of them: 16 requests for each of five numbers of copies, all statuses right, every request reaches the server once, and a connection with a copy is not used again. A server that ends its connection within the head of its answer: 502 for each of the cuts of five heads, at every byte, for requests that may not be repeated.

--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -48,6 +48,35 @@
         self.assertIn(b"unknown", one[2])
         self.assertEqual(2, len(server.seen))
 
+    def test_head_cut_at_any_byte_is_never_told_as_success(self):
+        """The server ends the connection within the head of its answer."""
+        request_head = b"GET / HTTP/1.1\r\nX-Request-Id: ID\r\n\r\n"
+        fields = (b"X-Response-Signature: s\r\n", b"", b"Connection: close\r\n")
+        heads = [
+            ok(request_head, b"whole body", extra).partition(b"whole")[0]
+            for extra in fields
+        ]
+        heads.append(
+            heads[1].replace(b"Content-Length: 10", b"Transfer-Encoding: chunked")
+        )
+        heads.append(b"HTTP/1.1 100 Continue\r\n\r\n" + heads[1])
+        cuts = [head[:end] for head in heads for end in range(1, len(head) + 1)]
+
+        def script(request):
+            request_id = field(request, "x-request-id").encode()
+            return [cuts[int(request_id)].replace(b"ID", request_id), ...]
+
+        async def scenario(fleet):
+            statuses = set()
+            for number, _ in enumerate(cuts):
+                path = f"/once/{number}"
+                while len(fleet.servers[0].seen) == number:
+                    got = await fleet.ask(path, request_id=str(number))
+                    statuses.add(got[0])
+            return statuses
+
+        self.assertEqual({502}, self.run_scenario(scenario, scripts=[script]))
+
     def test_extra_answer_is_discarded(self):
         def extra(request):
             return ok(request) + ok(request, b"extra")
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -166,6 +166,42 @@
         got = self.run_scenario(scenario, config=ONCE, scripts=[script])
         self.assertEqual((503, 200, 2), got)
 
+    def test_copied_refusal_never_tells_a_running_request_as_not_run(self):
+        """A copy comes with the refusal, or as the next requests are being run."""
+
+        def refusal(request):
+            return ok(request, extra=b"X-Not-Executed: 1\r\n", status=b"503 Full")
+
+        def make_script(copies_with_refusal, copies_with_next):
+            refusals = []
+
+            def script(request):
+                number = int(field(request, "x-request-id")[1:])
+                if number % 4 == 0:
+                    refusals.append(refusal(request))
+                    return [refusals[-1]] * (1 + copies_with_refusal)
+                copies = refusals[-1:] * copies_with_next
+                return [*copies, ok(request, b"own")]
+
+            return script
+
+        async def scenario(fleet):
+            answers = []
+            for number in range(16):
+                name = f"q{number}"
+                got = await fleet.ask("/a", request_id=name, method="POST", body=b"x")
+                answers.append((got[0], got[2] == b"own"))
+            return answers, len(fleet.servers[0].seen), fleet.servers[0].connections
+
+        expected = ([(503, False)] + [(200, True)] * 3) * 4
+        for copies in ((0, 0), (1, 0), (0, 1), (0, 3), (2, 2)):
+            scripts = [make_script(*copies)]
+            answers, runs, connections = self.run_scenario(
+                scenario, config=ONCE, scripts=scripts
+            )
+            self.assertEqual((expected, 16), (answers, runs), copies)
+            self.assertEqual(copies == (0, 0), connections == 1, copies)
+
     def test_request_without_id_gets_its_own_connection(self):
         """An answer without an id could belong to any earlier request."""
 
