Product's bundles: a platform that gives revisions out again

A reader of a zone watches the platform after its last revision; a platform that begins anew, or comes back from a copy, does not reach that revision for long, and the watch stays silent.

Cause: as in relay nodes, an order taken from a counter that its owner may set back.

Change: the reader reads the value after each watch that brought nothing or failed. Bundles are ordered by their signed version, as before, so an older one takes no force.

Evidence: test_bundle_at_a_revision_that_was_given_out_before_takes_force failed (no node had the bundle within 30 s) and passes; the eight tests of bundles pass.

--- a/damaskramp/node/bundle_controller.py
+++ b/damaskramp/node/bundle_controller.py
@@ -106,6 +106,7 @@
         self._random = random
         self._store = BundleStore(ZoneName(settings.node.zone))
         self._revision = 0
+        self._must_read = False
         self._reachable: bool | None = None
         self._tasks: set[asyncio.Task] = set()
         self._failed_parent: HostId | None = None
@@ -164,8 +165,20 @@
             await self._watch_member(self._parent(tree))
 
     async def _watch_platform(self) -> None:
-        wait = self._settings.platform.watch_seconds
-        answer = await self._source.watch(self._revision, wait)
+        """Watch the platform; read it after each watch that brought nothing.
+
+        A platform that was restored from a copy gives revisions out again, and a watch
+        after one that it has not reached yet stays silent.
+        """
+        if self._must_read:
+            answer = await self._source.read()
+            if answer.is_ok() and answer.ok is None:
+                self._revision = 0
+            self._must_read = answer.is_error()
+        else:
+            wait = self._settings.platform.watch_seconds
+            answer = await self._source.watch(self._revision, wait)
+            self._must_read = answer.is_error() or answer.ok is None
         for signed in self._published(answer):
             self._offer(signed, "platform")
         if answer.is_error():
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -103,6 +103,20 @@
             self.fleet.start_node(host)
         self.wait_for_version(version)
 
+    def test_bundle_at_a_revision_that_was_given_out_before_takes_force(self):
+        """The platform's revisions begin anew, as if restored from a copy."""
+        for _ in range(3):
+            version = self.next_version()
+            self.fleet.publish(bundle(version))
+            self.wait_for_version(version)
+        self.fleet.processes["platform"].kill()
+        self.fleet.start_platform()
+        self.fleet.publish_hosts()
+        self.run_loop(asyncio.sleep(2.0))
+        version = self.next_version()
+        self.fleet.publish(bundle(version))
+        self.wait_for_version(version)
+
     def test_stale_platform_does_not_restore_an_older_bundle(self):
         stale, version = self.next_version(), self.next_version()
         self.fleet.publish(bundle(version))
