--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -46,7 +46,7 @@
 """Time after the platform's return, in seconds, within which live servers are described
 again, according to the platform."""
 
-OVERRIDE_SECONDS = 10.0
+OVERRIDE_SECONDS = 30.0
 """Time for which a deletion of an earlier epoch stands against a store that lists the
 server again. By then the store has deleted a server that is gone: it does so after
 three missed heartbeats."""
