--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -6,11 +6,9 @@
 description.
 
 A store that is restored from a copy begins a new epoch, in which revisions are given
-out again and changes may be lost until their writers have made them again. Across
-epochs, what was certainly written in the current one wins; otherwise the later report
-by the server's own count does. What was known before therefore stands until the store
-lists something newer or, for a deletion, until the store would have deleted the server
-again.
+out again and changes may be lost until their writers have made them again
+(`epoch_order`). What was known before stands until the store lists something newer or,
+for a deletion, until the store would have deleted the server again.
 
 While the platform is unreachable, descriptions may expire although their servers are
 alive. After its return, removals are therefore deferred until such servers have had
@@ -21,6 +19,7 @@
 from typing import NamedTuple
 
 from damaskramp.core.ids import ServiceName, ZoneName
+from damaskramp.fleet.epoch_order import EpochOrder
 from damaskramp.fleet.model import (
     NO_EPOCH,
     BackendServer,
@@ -100,7 +99,7 @@
         self._deferred: dict[ServerId, Removal] = {}
         self._defer_until = float("-inf")
         self._position = StorePosition(NO_EPOCH, Revision(0))
-        self._epoch_start = Revision(0)
+        self._order = EpochOrder(NO_EPOCH, Revision(0))
         self._deletions_known_after = Revision(0)
         self._earlier: tuple[BackendServer, ...] = ()
         self._generation = 0
@@ -324,7 +323,7 @@
 
     def _enter_epoch(self, position: StorePosition) -> None:
         self._position = position
-        self._epoch_start = position.revision
+        self._order = EpochOrder(*position)
         self._overridden.clear()
         if self._servers:
             self.defer_removals(self._clock() + REREGISTRATION_SECONDS)
@@ -359,11 +358,11 @@
 
     def _add_server(self, server: BackendServer) -> bool:
         known = self._servers.get(server.id)
-        if known is not None and not self._is_newer(server, known):
+        if known is not None and not self._order.is_newer(server, known):
             self._outdated += known != server
             return False
         removal = self.removal_of(server.id)
-        if removal is not None and not self._is_after_removal(server, removal):
+        if removal is not None and not self._order.is_after_removal(server, removal):
             self._outdated += 1
             if server.epoch == self.epoch and removal.epoch != self.epoch:
                 self._overridden.setdefault(server.id, (server, self._clock()))
@@ -381,14 +380,16 @@
         name = removal.server
         known = self._servers.get(name)
         if known is not None:
-            if not self._is_removed_by(known, removal):
+            if not self._order.is_removed_by(known, removal):
                 return False
             removal = removal._replace(report=max(known.report, removal.report or ()))
             if self._clock() < self._defer_until:
                 self._deferred[name] = removal
                 return False
-        elif not self._is_later_removal(removal):
-            return False
+        else:
+            remembered = self.removal_of(name)
+            if remembered and not self._order.is_later_removal(removal, remembered):
+                return False
         self._removed[name] = (removal, self._clock())
         if removal.epoch != self.epoch or removal.revision <= self.revision:
             # Peers that are complete up to its revision may lack it.
@@ -418,57 +419,6 @@
             self._rebuild()
         return bool(restored)
 
-    def _is_of_epoch(self, epoch: Epoch, revision: Revision) -> bool:
-        """Whether something was certainly written in the current epoch.
-
-        Earlier revisions may be those of the copy from which the store was restored.
-        """
-        return epoch == self.epoch and revision > self._epoch_start
-
-    def _is_newer(self, server: BackendServer, known: BackendServer) -> bool:
-        if server.epoch == known.epoch:
-            return server.revision > known.revision
-        if self._is_of_epoch(server.epoch, server.revision):
-            return True
-        if self._is_of_epoch(known.epoch, known.revision):
-            return False
-        if server.report != known.report:
-            return server.report > known.report
-        if server.leaving != known.leaving:
-            return server.revision > known.revision
-        return server.epoch == self.epoch
-
-    def _is_after_removal(self, server: BackendServer, removal: Removal) -> bool:
-        if server.epoch == removal.epoch:
-            return server.revision > removal.revision
-        if self._is_of_epoch(server.epoch, server.revision):
-            return True
-        if self._is_of_epoch(removal.epoch, removal.revision):
-            return False
-        return removal.report is None or server.report > removal.report
-
-    def _is_removed_by(self, server: BackendServer, removal: Removal) -> bool:
-        if server.epoch == removal.epoch:
-            return server.revision <= removal.revision
-        if self._is_of_epoch(removal.epoch, removal.revision):
-            return True
-        if self._is_of_epoch(server.epoch, server.revision):
-            return False
-        return removal.report is not None and server.report <= removal.report
-
-    def _is_later_removal(self, removal: Removal) -> bool:
-        """Whether a removal of a server that isn't listed says more than is known."""
-        known = self.removal_of(removal.server)
-        if known is None:
-            return True
-        if removal.epoch == known.epoch:
-            return removal.revision > known.revision
-        if known.epoch == self.epoch:
-            return False
-        return removal.epoch == self.epoch or (removal.report or ()) > (
-            known.report or ()
-        )
-
     def _rebuild(self) -> None:
         now = self._clock()
         self._generation += 1
