Stop of a node ends under Python 3.12

Cause: from 3.12 on, waiting for a closed server also waits for its connections. Other nodes keep theirs, so a node that stopped was killed at the end of its time: tests of stops and of balancing failed under 3.12.15 (3 of 659; exit codes -9).

Change: the wait for the handlers of other nodes' calls ends after 0.5 s.

--- a/damaskramp/node/assembly.py
+++ b/damaskramp/node/assembly.py
@@ -1,6 +1,7 @@
 """Assembly of a node from its settings, and its start and stop."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Coroutine
 
@@ -25,6 +26,10 @@
 
 MAX_ADMIN_CONNECTIONS = 64
 QUARANTINE_EXPIRY_INTERVAL_SECONDS = 30.0
+PEER_CLOSE_SECONDS = 0.5
+"""Longest wait, in seconds, for the handlers of other nodes' calls to end. From Python
+3.12 on it also covers the other nodes' connections, which they keep open."""
+
 GAUGE_INTERVAL_SECONDS = 5.0
 
 
@@ -126,7 +131,9 @@
         finished = await self._leave()
         self._control.quota.stop()
         self._peer.close()
-        await self._peer.wait_closed()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PEER_CLOSE_SECONDS):
+                await self._peer.wait_closed()
         await self._admin.drain(0.0)
         self._path.home.close()
         for task in self._tasks:
