--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -52,8 +52,8 @@
 """Peers of the own zone to which each reader sends a change at once."""
 
 CONSULTED_PEERS = 6
-"""Peers that a node asks at once when it starts. A peer that can't be reached, or has
-just started too, is unlikely to be all of them."""
+"""Peers that a node asks at once when it starts. Some may be out of reach, or may have
+just started themselves."""
 
 RECONNECT_DELAY_SECONDS = 0.25
 """Delay before a broken link is opened again, in seconds."""
