--- a/review/fleet.py
+++ b/review/fleet.py
@@ -20,6 +20,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -56,7 +57,8 @@
     def say(self, *words):
         """Write a line to the record and to the output."""
         self(*words)
-        print(*words, flush=True)
+        with contextlib.suppress(OSError):
+            print(*words, flush=True)
 
 
 def free_ports(address, count):
@@ -200,10 +202,13 @@
         self.state, self._sequence = "ready", 0
         self.running = 0
         self.runs = {}
+        self._writers = set()
         self._server = None
         self.address = ""
 
     async def start(self):
+        """Begin a lifetime, and register."""
+        self.born, self._sequence = int(time.time() * 1000), 0
         host, port = self.machine.host, self.fleet.upstream_port
         self._server = await asyncio.start_server(
             self._serve, host, port, limit=1 << 20, backlog=1024
@@ -228,7 +233,20 @@
             },
         )
 
+    def crash(self):
+        """End at once: all connections are reset, and the entry stays for a while."""
+        self.fleet.record("crash of", self.id)
+        self._server.close()
+        for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            if sock is not None:
+                linger = struct.pack("ii", 1, 0)
+                with contextlib.suppress(OSError):
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -240,6 +258,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _handle(self, request, reader, writer):
