--- a/review/fleet.py
+++ b/review/fleet.py
@@ -330,7 +330,6 @@
         self.fleet, self.zone, self.service = fleet, zone, service
         self.name = f"sidecar-{number}"
         self.host = f"127.{fleet.network[0]}.{fleet.network[1]}.{number}"
-        self.node_host = self.host
         self.process = None
         self.peak_mb = 0.0
         self.killed_for_memory = False
@@ -377,49 +376,6 @@
         return (self.fleet.folder / f"{self.name}.log").read_text("utf-8", "replace")
 
 
-class Link:
-    """Link of a machine to the others, with a bandwidth; a proxy before its node."""
-
-    def __init__(self, fleet, machine, megabits):
-        self.fleet, self.machine = fleet, machine
-        self._bytes_per_second = megabits * 125_000
-        last = int(machine.host.rpartition(".")[2])
-        machine.node_host = f"{machine.host.rpartition('.')[0]}.{100 + last}"
-
-    async def start(self):
-        self._server = await asyncio.start_server(
-            self._serve, self.machine.host, self.fleet.peers_port, limit=1 << 17
-        )
-
-    async def _serve(self, reader, writer):
-        try:
-            far_reader, far_writer = await asyncio.open_connection(
-                self.machine.node_host, self.fleet.peers_port, limit=1 << 17
-            )
-        except OSError:
-            writer.transport.abort()
-            return
-        ways = {
-            asyncio.ensure_future(self._copy(reader, far_writer)),
-            asyncio.ensure_future(self._copy(far_reader, writer)),
-        }
-        await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
-        for way in ways:
-            way.cancel()
-        writer.close()
-        far_writer.close()
-
-    async def _copy(self, reader, writer):
-        free_at = time.monotonic()
-        with contextlib.suppress(OSError):
-            while piece := await reader.read(16384):
-                free_at = max(free_at, time.monotonic())
-                free_at += len(piece) / self._bytes_per_second
-                await asyncio.sleep(free_at - time.monotonic())
-                writer.write(piece)
-                await writer.drain()
-
-
 class Fleet:
     """Store, machines and configuration of one small deployment."""
 
@@ -490,7 +446,7 @@
             "node": machine.name,
             "zone": machine.zone,
             "listen.outbound": f"{machine.host}:{self.callers_port}",
-            "ip": machine.node_host,
+            "ip": machine.host,
             "internal-ports.0": self.peers_port,
             "listen.ready": f"{machine.host}:{self.ready_port}",
             "service": machine.service,
@@ -600,26 +556,14 @@
         self._fleet, self._machine = fleet, machine
         self._reader = self._writer = None
 
-    async def connect(self, receive_bytes=None):
-        """Open the connection, with the kernel's or a given receive buffer."""
-        sock = socket.socket()
-        sock.setblocking(False)
-        if receive_bytes is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(sock, self._machine.callers)
+    async def connect(self):
+        """Open the connection."""
+        host, port = self._machine.callers
         self._reader, self._writer = await asyncio.open_connection(
-            sock=sock, limit=receive_bytes or 1 << 20
+            host, port, limit=1 << 20
         )
         return self
 
-    async def read_some(self, size):
-        """Read some bytes; none if the connection has ended."""
-        try:
-            return await self._reader.read(size)
-        except OSError:
-            return b""
-
     def send(self, method, host, target, timeout_ms, body=b"", request_id=None):
         """Send a request; return its id."""
         request_id = request_id or new_id()
