Relay node: assembly, pages, periodic work and shutdown are objects of their own

Cause: relay/node.py (582 lines) built all parts, served the pages, repeated the periodic work and ran the steps of a stop. The steps and the derived settings had no unit tests. Change: node_parts assembles, node_pages serves readiness, status and metrics, periodic_work holds the timers, shutdown runs the steps of a stop, part_settings derives the settings of parts. node.py (177 lines) starts, stops and reloads. Tests that read parts of a node follow the new names. Conclusion: behaviour unchanged; nothing on the way of a request was touched.

--- /dev/null
+++ b/damaskramp/relay/tests/test_shutdown.py
@@ -0,0 +1,95 @@
+"""Steps of a stop: their order and times, and what the stop waits for."""
+
+import asyncio
+from types import SimpleNamespace
+
+from testtools import TestCase
+
+from damaskramp.core.timers import VirtualTimers
+from damaskramp.relay.shutdown import Shutdown
+
+STEP_SECONDS = 0.01
+
+
+class StopRun:
+    """Run of a stop on virtual time; the fake parts record when they are told."""
+
+    def __init__(self, open_until=0.0):
+        self.timers = VirtualTimers()
+        self.steps = []
+        self.open_until = open_until
+        executor = _FakeExecutor(self)
+        self.shutdown = Shutdown(
+            self.timers,
+            executor,
+            SimpleNamespace(announce_leaving=self.record("leaving")),
+            SimpleNamespace(
+                unanswered=0,
+                unsent=0,
+                announce_close=self.record("closing"),
+                close_idle=self.record("idle closed"),
+            ),
+            SimpleNamespace(announce_stop=self.record_stop_by),
+            SimpleNamespace(unsent=0),
+            self.record("not listening"),
+        )
+        self.executor = executor
+
+    def record(self, step):
+        return lambda: self.steps.append((step, round(self.timers.now, 1)))
+
+    def record_stop_by(self, stop_by):
+        self.record(f"requests must end by {stop_by}")()
+
+    def run(self, grace):
+        """Run the stop; return the open requests and the time that it took."""
+
+        async def run():
+            task = asyncio.get_running_loop().create_task(self.shutdown.run(grace))
+            while not task.done():
+                await asyncio.sleep(0)
+                self.timers.advance(STEP_SECONDS)
+            return task.result(), round(self.timers.now, 1)
+
+        return asyncio.run(run())
+
+
+class _FakeExecutor:
+    def __init__(self, run):
+        self._run = run
+        self.leaving = False
+
+    @property
+    def running(self):
+        return int(self._run.timers.now < self._run.open_until)
+
+
+class TestShutdown(TestCase):
+    """A stop must not cut requests of callers who could not know of it yet."""
+
+    def test_connections_are_closed_after_callers_could_learn_of_the_stop(self):
+        run = StopRun()
+        self.assertEqual((0, 3.6), run.run(grace=20.0))
+        self.assertEqual(
+            [
+                ("leaving", 2.0),
+                ("closing", 2.0),
+                ("requests must end by 19.5", 3.0),
+                ("not listening", 3.5),
+                ("idle closed", 3.6),
+            ],
+            run.steps,
+        )
+        self.assertTrue(run.executor.leaving)
+
+    def test_running_requests_have_the_rest_of_the_grace_time(self):
+        self.assertEqual((0, 9.0), StopRun(open_until=9.0).run(grace=20.0))
+
+    def test_requests_that_outlast_the_grace_time_are_reported_as_cut(self):
+        self.assertEqual((1, 19.5), StopRun(open_until=99.0).run(grace=20.0))
+
+    def test_a_short_grace_time_shortens_every_step(self):
+        """With fixed times, a grace time of 2 s would end before requests are read."""
+        run = StopRun()
+        run.run(grace=2.0)
+        self.assertEqual([0.7, 0.7, 1.2, 1.2, 1.3], [at for _, at in run.steps])
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -66,7 +66,7 @@
 class TestUpdates(RelayTestCase):
     def test_node_without_the_store_is_updated_by_its_peers(self):
         async def scenario(fleet):
-            source = fleet.nodes[0]._watcher._source
+            source = fleet.nodes[0]._parts.watcher._source
 
             async def refuse(*args, **fields):
                 from damaskramp.fleet import SourceBusyError
--- a/tests/test_relay_chain_repeats.py
+++ b/tests/test_relay_chain_repeats.py
@@ -37,9 +37,9 @@
             # Both servers fail alike, so that neither is an outlier.
             for server in servers:
                 for _ in range(20):
-                    node._selector.record_end(server, True)
+                    node._parts.selector.record_end(server, True)
             # A chain of rank 1 lately wanted a repeat at the same service.
-            node._budget.decide("registry", now, 0, 1)
+            node._parts.retry_budget.decide("registry", now, 0, 1)
             answer = await fleet.ask("/desk/a", key=key, extra="X-Timeout-Ms: 2000\r\n")
             return answer[0], next(numbers)
 
--- a/tests/test_relay_configuration.py
+++ b/tests/test_relay_configuration.py
@@ -44,7 +44,7 @@
                 "no key": await fleet.ask("/a", key=""),
             }
             counted = fleet.counters[0].values[("configuration_findings", "")]
-            return got, counted, fleet.nodes[0]._status()
+            return got, counted, fleet.nodes[0]._pages.status()
 
         got, counted, (_, page) = self.run_scenario(scenario)
         statuses = {name: answer[0] for name, answer in got.items()}
--- a/tests/test_relay_evacuations.py
+++ b/tests/test_relay_evacuations.py
@@ -270,7 +270,7 @@
         async def scenario(fleet):
             returned = []
             for n, node in enumerate(fleet.nodes):
-                observer = node._evacuation_observer
+                observer = node._parts.evacuation_observer
                 observer.on_own_zone_returned = lambda n=n: returned.append(n)
             await self.evacuate(fleet, "z1")
             self.assertEqual([], returned)
--- a/tests/test_relay_memory.py
+++ b/tests/test_relay_memory.py
@@ -62,7 +62,7 @@
                 _, writer = await fleet.connect()
                 writer.write(start)
                 writers.append(writer)
-            account = node._budgets.memory
+            account = node._parts.budgets.memory
             await fleet.until(lambda: account.used > 0)
             await asyncio.sleep(0.05)
             for writer in writers:
@@ -70,7 +70,7 @@
             await fleet.until(lambda: not node._listener.connections)
             await fleet.until(lambda: not node._executor.running)
             await asyncio.sleep(0.05)
-            return account.used, node._budgets.descriptors.used
+            return account.used, node._parts.budgets.descriptors.used
 
         async def slow(request):
             await asyncio.sleep(0.2)
--- a/tests/test_relay_silence.py
+++ b/tests/test_relay_silence.py
@@ -76,7 +76,7 @@
     def test_without_retry_budget_no_hedge_is_sent(self):
         async def scenario(fleet):
             await self.record_route_times(fleet)
-            budget = fleet.nodes[0]._budget
+            budget = fleet.nodes[0]._parts.retry_budget
             budget.decide = lambda *request: SpendDecision.BUDGET
             got = await fleet.ask("/a", extra="X-Timeout-Ms: 500\r\n")
             return got[0], [len(server.seen) for server in fleet.servers[:2]]
