Requests of callers begin in turns, so that other work gets its turn

Two tests with pipelined requests on paths without a route ended with a node that was not ready, since the proof of its configuration was 45 s old. Traced: the test process, which holds the clients and the store, was at 5 % of a core and at most 0.2 s late. The node was starved: each of 100 connections had some 35 requests refused while one read was parsed, so one turn of its event loop took up to 1.9 s, and every poll of the store ran into its timeout of 1.5 s.

At most 32 requests begin in one turn of the loop, over all connections. Connections with further requests take turns with one request each. A request that waits for its turn counts as unanswered, so a stop waits for it.

--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -29,6 +29,7 @@
     RequestSink,
 )
 from damaskramp.relay.caller_request import CallerRequest
+from damaskramp.relay.caller_turns import TurnTaker
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.shedding import Shedding
 
@@ -70,7 +71,7 @@
 against those that have and are kept for reuse."""
 
 
-class CallerConnection(asyncio.BufferedProtocol, RequestSink, ClientHolder):
+class CallerConnection(asyncio.BufferedProtocol, RequestSink, ClientHolder, TurnTaker):
     """HTTP/1.1 connection of one caller."""
 
     def __init__(self, listener: "CallerListener") -> None:
@@ -85,6 +86,7 @@
         self._rejected = False
         self._open = False
         self._has_served = False
+        self._awaits_turn = False
 
     @property
     def names(self) -> ReservedNames:
@@ -93,8 +95,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request waits for its answer."""
-        return self._current is not None
+        """Whether a request waits for its answer, or for its turn to begin."""
+        return self._current is not None or self._awaits_turn
 
     @property
     def has_unsent(self) -> bool:
@@ -165,7 +167,7 @@
         self._answers.resume()
         self.update_reading()
         if self._pipelined and self._current is None:
-            asyncio.get_running_loop().call_soon(self._begin_next)
+            self._await_turn()
 
     def update_reading(self) -> None:
         """Pause or resume reading; while paused, TCP flow control stops the caller."""
@@ -179,7 +181,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next bytes; all connections share one."""
-        return self._listener.read_buffer.free(self._reader, self._current is not None)
+        return self._listener.read_buffer.free(self._reader, self.busy)
 
     def buffer_updated(self, size: int) -> None:
         """Parse data from the caller."""
@@ -216,8 +218,13 @@
             self._release(request)
             return
         # A request never overtakes one that waits for its turn.
-        if self._current is None and not self._pipelined and not self._answers.stalled:
-            self._begin(request)
+        is_first = self._current is None and not self._pipelined
+        if is_first and not self._answers.stalled:
+            if self._listener.turns.may_begin():
+                self._begin(request)
+            else:
+                self._pipelined.append(request)
+                self._await_turn()
             return
         if not request.head_charge:
             size = REQUEST_BYTES + request.head_bytes
@@ -267,7 +274,7 @@
             close_lingering(self._transport)
         elif self._pipelined:
             # The parser may still run its present step; the next request waits for it.
-            asyncio.get_running_loop().call_soon(self._begin_next)
+            self._await_turn()
 
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it is stalled, slow or idle for too long."""
@@ -323,11 +330,21 @@
             self._release_all()
             self._transport.abort()
 
-    def _begin_next(self) -> None:
-        if self._current is None and self._pipelined and not self._answers.stalled:
-            request = self._pipelined.popleft()
-            self.update_reading()
-            self._begin(request)
+    def _await_turn(self) -> None:
+        """Begin the next request when other connections have had their turn."""
+        if not self._awaits_turn:
+            self._awaits_turn = True
+            self._listener.turns.wait(self)
+
+    def take_turn(self) -> bool:
+        """Begin the next request; return whether there was one to begin."""
+        self._awaits_turn = False
+        if self._current is not None or not self._pipelined or self._answers.stalled:
+            return False
+        request = self._pipelined.popleft()
+        self.update_reading()
+        self._begin(request)
+        return True
 
     def _begin(self, request: CallerRequest) -> None:
         self._current = request
--- a/damaskramp/relay/caller_listener.py
+++ b/damaskramp/relay/caller_listener.py
@@ -9,6 +9,7 @@
 from damaskramp.relay.caller_connection import CallerConnection
 from damaskramp.relay.caller_memory import BodyWaiter, CallerMemory, CallerShares
 from damaskramp.relay.caller_request import RequestHandler
+from damaskramp.relay.caller_turns import CallerTurns
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.shedding import SheddingLog
 
@@ -24,6 +25,8 @@
         Memory and descriptors of the connections.
     read_buffer : ReadBuffer
         Buffer that every connection is read into, one at a time.
+    turns : CallerTurns
+        Bound on the requests that begin in one turn of the event loop.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         self.connections: set[CallerConnection] = set()
         self.closing = False
         self.read_buffer = ReadBuffer()
+        self.turns = CallerTurns()
         self.memory_account = CallerMemory(
             shares, self.connections, clock, shedding_log
         )
--- /dev/null
+++ b/damaskramp/relay/tests/test_caller_turns.py
@@ -0,0 +1,193 @@
+"""Turns of callers' connections: no number of requests delays other work."""
+
+import asyncio
+
+from damaskramp.core import Counters, MemoryAccount, Outcome, Reason
+from damaskramp.platform import PLATFORM_HEADERS
+from damaskramp.relay.caller_listener import CallerListener
+from damaskramp.relay.caller_memory import CallerShares
+from damaskramp.relay.caller_request import RequestHandler
+from damaskramp.relay.caller_turns import REQUESTS_PER_TURN, CallerTurns, TurnTaker
+from damaskramp.relay.headers import ReservedNames
+from damaskramp.relay.shedding import SheddingLog
+from damaskramp.testing import LoopTestCase
+
+MEMORY = 100_000_000
+CONNECTIONS = 100
+REQUESTS = 30
+
+
+class _Taker(TurnTaker):
+    def __init__(self, turns, name, begun, requests):
+        self._turns, self._name, self._begun = turns, name, begun
+        self._left = requests
+
+    def take_turn(self):
+        if not self._left:
+            return False
+        self._left -= 1
+        self._begun.append(self._name)
+        if self._left:
+            self._turns.wait(self)
+        return True
+
+
+class TurnsTestCase(LoopTestCase):
+    """Guards against one connection, or many, that occupy the event loop."""
+
+    def test_requests_of_a_turn_are_bounded(self):
+        async def scenario():
+            turns = CallerTurns()
+            allowed = sum(turns.may_begin() for _ in range(10 * REQUESTS_PER_TURN))
+            await asyncio.sleep(0)
+            return allowed, turns.may_begin()
+
+        self.assertEqual((REQUESTS_PER_TURN, True), self.run_loop(scenario()))
+
+    def test_connections_take_turns_with_one_request_each(self):
+        async def scenario():
+            turns, begun = CallerTurns(), []
+            for name, requests in (("many", 5), ("one", 1), ("gone", 0), ("two", 2)):
+                turns.wait(_Taker(turns, name, begun, requests))
+            for _ in range(10):
+                await asyncio.sleep(0)
+            return begun
+
+        expected = ["many", "one", "two", "many", "two", "many", "many", "many"]
+        self.assertEqual(expected, self.run_loop(scenario()))
+
+    def test_a_later_request_waits_behind_those_that_wait(self):
+        async def scenario():
+            turns, begun = CallerTurns(), []
+            turns.wait(_Taker(turns, "first", begun, 1))
+            before = turns.may_begin()
+            await asyncio.sleep(0)
+            return before, begun, turns.may_begin()
+
+        self.assertEqual((False, ["first"], True), self.run_loop(scenario()))
+
+
+class _Transport(asyncio.Transport):
+    """Transport that keeps what is written, of a caller that reads at once."""
+
+    def __init__(self):
+        super().__init__({"peername": ("127.0.0.9", 1)})
+        self.written = bytearray()
+        self.reading = True
+        self.closed = False
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def write(self, data):
+        self.written += data
+
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
+    def is_closing(self):
+        return self.closed
+
+    def can_write_eof(self):
+        return False
+
+    def close(self):
+        self.closed = True
+
+    def abort(self):
+        raise AssertionError("connection aborted")
+
+
+class _Refusing(RequestHandler):
+    """Handler that refuses each request at once, as one without a route."""
+
+    def __init__(self):
+        self.seen = []
+
+    def handle(self, request):
+        self.seen.append(request)
+        request.refuse(Reason.NO_ROUTE, Outcome.NOT_RUN)
+
+
+class PipelinedRefusalsTestCase(LoopTestCase):
+    """Guards against pipelined requests that are refused while they are read."""
+
+    def make_listener(self):
+        account = MemoryAccount(MEMORY)
+        shares = CallerShares(*(account.share(n, 0, MEMORY) for n in "abcdef"))
+        self.handler = _Refusing()
+        counters = Counters()
+        return CallerListener(
+            self.handler,
+            ReservedNames(PLATFORM_HEADERS),
+            lambda: 1.0,
+            counters,
+            shares,
+            SheddingLog(counters),
+        )
+
+    def connect(self, listener):
+        connection, transport = listener.connect(), _Transport()
+        connection.connection_made(transport)
+        return connection, transport
+
+    def send(self, connection, data):
+        buffer = connection.get_buffer(-1)
+        size = min(len(buffer), len(data))
+        buffer[:size] = data[:size]
+        connection.buffer_updated(size)
+        return data[size:]
+
+    def test_many_connections_leave_each_turn_of_the_loop_short(self):
+        async def scenario():
+            listener = self.make_listener()
+            request = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
+            clients = [
+                [
+                    *self.connect(listener),
+                    b"".join(request % n for n in range(REQUESTS)),
+                ]
+                for _ in range(CONNECTIONS)
+            ]
+            turns = []
+            while len(self.handler.seen) < CONNECTIONS * REQUESTS:
+                before = len(self.handler.seen)
+                await asyncio.sleep(0)
+                for client in clients:
+                    connection, transport, data = client
+                    if data and transport.reading:
+                        client[2] = self.send(connection, data)
+                turns.append(len(self.handler.seen) - before)
+            self.assertLessEqual(max(turns), REQUESTS_PER_TURN)
+            for connection, transport, _ in clients:
+                answers = bytes(transport.written)
+                self.assertEqual(REQUESTS, answers.count(b"HTTP/1.1 404"))
+                seen = [r.path for r in self.handler.seen if r.connection is connection]
+                self.assertEqual([f"/{n}" for n in range(REQUESTS)], seen)
+            return listener
+
+        listener = self.run_loop(scenario())
+        self.assertEqual(0, listener.unanswered)
+
+    def test_a_request_that_waits_for_its_turn_counts_as_unanswered(self):
+        """A shutdown must wait for it as for one that runs."""
+
+        async def scenario():
+            listener = self.make_listener()
+            clients = [self.connect(listener) for _ in range(REQUESTS_PER_TURN + 1)]
+            for connection, _ in clients:
+                self.send(connection, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            waiting = listener.unanswered
+            listener.close_idle()
+            await asyncio.sleep(0)
+            return waiting, listener.unanswered, bytes(clients[-1][1].written)
+
+        waiting, later, answer = self.run_loop(scenario())
+        self.assertEqual((1, 0), (waiting, later))
+        self.assertIn(b"404", answer)
