Keep the list of hosts, and the shares of teams, until a host changes

Cause: the list of hosts was computed again each second and at each change of any server. The shares of all teams with a rate were computed with it, with one hash for each team and host.

Change: Directory.hosts returns the same list until a host joins, moves or has been gone for 20 s. TeamRates.update computes only teams that have changed while the hosts are the same.

Conclusion: a change of the hosts themselves still costs the old time.

--- a/damaskramp/dispatch/shared_rate.py
+++ b/damaskramp/dispatch/shared_rate.py
@@ -241,6 +241,8 @@
         self._rates: dict[TeamId, SharedRate] = {}
         self._share_hosts: dict[TeamId, list[str]] = {}
         self._lenders: dict[TeamId, LenderEstimates] = {}
+        self._applied: dict[TeamId, Team] = {}
+        self._hosts: list[tuple[str, ZoneName]] = []
 
     def find(self, team: TeamId) -> SharedRate | None:
         """Permits of a team; None if the team has no rate limit."""
@@ -257,11 +259,19 @@
     def update(
         self, teams: Iterable[Team], hosts: list[tuple[str, ZoneName]], now: float
     ) -> None:
-        """Apply a new configuration or list of hosts."""
+        """Apply a new configuration or list of hosts.
+
+        Only teams that have changed are computed anew, or all if the hosts have: each
+        takes a score for each host.
+        """
         limited = {team.name: team for team in teams if team.rate > 0}
         for name in [name for name in self._rates if name not in limited]:
             del self._rates[name], self._share_hosts[name], self._lenders[name]
+        applied = self._applied if hosts == self._hosts else {}
+        self._applied, self._hosts = limited, hosts
         for name, team in limited.items():
+            if applied.get(name) == team:
+                continue
             share_hosts = share_hosts_of(team, hosts, self._settings.min_burst_per_host)
             self._share_hosts[name] = share_hosts
             part = 1.0 / max(1, len(share_hosts))
--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -56,12 +56,6 @@
 do not rise early when the list shrinks."""
 
 
-HOSTS_CACHE_SECONDS = 1.0
-"""Time for which the list of hosts is cached, so that reading it many times a second
-costs the same for a fleet of any size. It is a small part of `HOST_RETENTION_SECONDS`.
-"""
-
-
 class DirectoryUpdate(NamedTuple):
     """What one directory tells another.
 
@@ -96,7 +90,7 @@
         self._overridden: dict[ServerId, tuple[BackendServer, float]] = {}
         self._received_at: dict[ServerId, float] = {}
         self._by_service: dict[ServiceName, list[BackendServer]] = {}
-        self._hosts_last_listed: dict[str, tuple[float, ZoneName]] = {}
+        self._hosts_left: dict[str, tuple[float, ZoneName]] = {}
         self._deferred: dict[ServerId, Removal] = {}
         self._defer_until = float("-inf")
         self._position = StorePosition(NO_EPOCH, Revision(0))
@@ -105,7 +99,9 @@
         self._earlier: tuple[BackendServer, ...] = ()
         self._generation = 0
         self._outdated = 0
-        self._hosts: tuple[float, int, list[tuple[str, ZoneName]]] = (0.0, -1, [])
+        self._hosts: list[tuple[str, ZoneName]] = []
+        self._hosts_generation = -1
+        self._hosts_until = float("-inf")
 
     @property
     def position(self) -> StorePosition:
@@ -250,23 +246,26 @@
     def hosts(self) -> list[tuple[str, ZoneName]]:
         """Hosts that are listed or were listed a short time ago, each with its zone.
 
-        The same list object is returned until the directory changes, for a second at
-        most.
+        The same list object is returned until a host or its zone changes, so that what
+        follows from the list is computed once for each of its changes.
         """
         now = self._clock()
-        cached_at, generation, hosts = self._hosts
-        if generation == self._generation and now - cached_at < HOSTS_CACHE_SECONDS:
-            return hosts
-        for server in self._servers.values():
-            self._hosts_last_listed[server.host] = (now, server.zone)
-        for host, (last_listed, _) in list(self._hosts_last_listed.items()):
-            if now - last_listed > HOST_RETENTION_SECONDS:
-                del self._hosts_last_listed[host]
-        hosts = [
-            (host, zone) for host, (_, zone) in sorted(self._hosts_last_listed.items())
-        ]
-        self._hosts = (now, self._generation, hosts)
-        return hosts
+        if self._hosts_generation == self._generation and now <= self._hosts_until:
+            return self._hosts
+        found = {server.host: server.zone for server in self._servers.values()}
+        self._hosts_until = float("inf")
+        for host, (left_at, zone) in list(self._hosts_left.items()):
+            retained_until = left_at + HOST_RETENTION_SECONDS
+            if host in found or now > retained_until:
+                del self._hosts_left[host]
+            else:
+                found[host] = zone
+                self._hosts_until = min(self._hosts_until, retained_until)
+        self._hosts_generation = self._generation
+        hosts = sorted(found.items())
+        if hosts != self._hosts:
+            self._hosts = hosts
+        return self._hosts
 
     def merge(
         self,
@@ -377,6 +376,8 @@
             return False
         self._forget_removal(server.id)
         self._overridden.pop(server.id, None)
+        if known is not None and known.address != server.address:
+            self._hosts_left[known.host] = (self._clock(), known.zone)
         self._servers[server.id] = server
         self._received_at[server.id] = self._clock()
         return True
@@ -411,7 +412,7 @@
             return False
         if known.epoch == self.epoch and removal.epoch != self.epoch:
             self._overridden[name] = (known, self._clock())
-        self._hosts_last_listed[known.host] = (self._clock(), known.zone)
+        self._hosts_left[known.host] = (self._clock(), known.zone)
         del self._servers[name]
         self._received_at.pop(name, None)
         return True
--- a/damaskramp/fleet/tests/test_directory.py
+++ b/damaskramp/fleet/tests/test_directory.py
@@ -99,6 +99,34 @@
         clock.now = 21.0
         self.assertEqual([], directory.hosts())
 
+    def test_hosts_are_the_same_object_until_a_host_changes(self):
+        # What follows from the list, as the readers of a zone and the shares of teams,
+        # would be computed again for each description that is written again.
+        clock = Clock()
+        directory = Directory(clock)
+        directory.merge([server("a", 1, address="10.0.0.2:80")])
+        hosts = directory.hosts()
+        clock.now = 30.0
+        directory.merge([server("a", 2, address="10.0.0.2:80", leaving=True)])
+        self.assertIs(hosts, directory.hosts())
+        directory.merge([], [Removal("a", 3)])
+        clock.now = 40.0
+        directory.merge([server("b", 4, address="10.0.0.2:81")])
+        self.assertIs(hosts, directory.hosts())
+        clock.now = 70.0
+        self.assertIs(hosts, directory.hosts())
+
+    def test_host_is_retained_after_its_server_moves(self):
+        clock = Clock()
+        directory = Directory(clock)
+        directory.merge([server("a", 1, address="10.0.0.2:80")])
+        clock.now = 50.0
+        directory.merge([server("a", 2, address="10.0.0.3:80")])
+        clock.now = 69.0
+        self.assertEqual([("10.0.0.2", "a"), ("10.0.0.3", "a")], directory.hosts())
+        clock.now = 71.0
+        self.assertEqual([("10.0.0.3", "a")], directory.hosts())
+
 
 class TestFreshness(TestCase):
     def test_delayed_peer_answer_never_lowers_the_age(self):
