Gossip: compute the peers and the kept records only when the list changes

Cause: each round copied and sorted all hosts, and built two sets of all servers to drop records of servers that are gone.

Change: the names are kept with the list of hosts, peers are drawn from it, and records are dropped when the directory changes and every 10 s. The zones of hosts are kept in FleetView, also for the choice of lenders, which copied them for each question.

--- a/damaskramp/relay/fleet_view.py
+++ b/damaskramp/relay/fleet_view.py
@@ -79,6 +79,10 @@
         self._own_server: BackendServer | None = None
         self._own_generation = -1
         self._readers: tuple[list[tuple[str, ZoneName]], list[str]] = ([], [])
+        self._host_zones: tuple[list[tuple[str, ZoneName]], dict[str, ZoneName]] = (
+            [],
+            {},
+        )
         self.directory = Directory(clock)
         self.leaving_announcements = LeavingAnnouncements(clock)
         self.freshness = Freshness()
@@ -173,6 +177,14 @@
             self._readers = (hosts, zone_readers(hosts, self._zone))
         return self._readers[1]
 
+    @property
+    def host_zones(self) -> dict[str, ZoneName]:
+        """Zone of each host, in the order of the hosts; not to be changed."""
+        hosts = self.directory.hosts()
+        if self._host_zones[0] is not hosts:
+            self._host_zones = (hosts, dict(hosts))
+        return self._host_zones[1]
+
     def states_later_epoch(self, epoch: Epoch, stated_at: float) -> bool:
         """Whether the store stated another epoch later than the one that is followed.
 
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -106,6 +106,10 @@
 spread the age of proofs and missed changes, through a fleet of a thousand hosts in
 fewer than ten rounds."""
 
+FORGET_INTERVAL_SECONDS = 10.0
+"""Interval at which records of servers that are gone are dropped although the list has
+not changed, in seconds: those that had a request in flight when their server left."""
+
 LINK_CHECK_INTERVAL_SECONDS = 0.1
 """Interval between checks for silent links, in seconds: a part of the silence after
 which a link is broken."""
@@ -327,6 +331,8 @@
         self._readiness_server = self._status_server("readiness")
         self._metrics_server = self._status_server("metrics")
         self._metrics_cache: tuple[float, bytes] | None = None
+        self._forgot_generation = -1
+        self._forgot_at = float("-inf")
         self._stopping = False
         self._servers: list[asyncio.Server] = []
         self._caller_server: asyncio.Server | None = None
@@ -552,10 +558,20 @@
         self._fleet_view.leaving_announcements.forget_old()
         self._budget.resize(len(directory.hosts()))
         self._cold_hints.resize(len(directory.hosts()))
-        self._selector.retain({server.id for server in directory.servers})
-        self._peers.load_sharing.retain()
+        self._forget_servers()
         self._peers.gossip()
 
+    def _forget_servers(self) -> None:
+        """Drop what is kept of servers that are not listed any more."""
+        generation, now = self._fleet_view.directory.generation, self._timers.now
+        is_due = now - self._forgot_at >= FORGET_INTERVAL_SECONDS
+        if generation == self._forgot_generation and not is_due:
+            return
+        self._forgot_generation, self._forgot_at = generation, now
+        known = {server.id for server in self._fleet_view.directory.servers}
+        self._selector.retain(known)
+        self._peers.load_sharing.retain(known)
+
 
 def _key_max_age(settings: RelaySettings) -> float:
     return max(
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -114,6 +114,7 @@
         self._leaving: dict[str, float] = {}
         self._unreachable: set[str] = set()
         self._introduced: set[str] = set()
+        self._gossip_hosts: tuple[object, list[str], int] = (None, [], 0)
         self._packed_version = 0
         self._packed_document = b""
         self._informed = asyncio.Event()
@@ -167,15 +168,12 @@
 
     def in_own_zone(self, hosts: list[str]) -> set[str]:
         """Select the hosts in this node's availability zone."""
-        zones = dict(self._fleet_view.directory.hosts())
+        zones = self._fleet_view.host_zones
         return {host for host in hosts if zones.get(host) == self._fleet_view.zone}
 
     def gossip(self) -> None:
         """Ask some peers for their fleet views, and close idle links."""
-        hosts = {host for host, _ in self._fleet_view.directory.hosts()}
-        hosts |= self._introduced
-        hosts.discard(self._fleet_view.host)
-        for host in self._gossip_targets(hosts):
+        for host in self._gossip_targets():
             link = self._link(host)
             if link is not None:
                 self._ping(link)
@@ -198,14 +196,32 @@
             async with asyncio.timeout(seconds):
                 await self._informed.wait()
 
-    def _gossip_targets(self, hosts: set[str]) -> list[str]:
+    def _gossip_targets(self) -> list[str]:
         """Choose a reader of the own zone, which has the newest proof, and others."""
-        readers = set(self._fleet_view.readers)
-        near = sorted((readers & hosts) - self._unreachable)
+        hosts = self._known_hosts()
+        own = self._fleet_view.host
+        near = [
+            host
+            for host in self._fleet_view.readers
+            if host != own and host not in self._unreachable
+        ]
         asked = self._random.sample(near, min(1, len(near)))
-        rest = sorted(hosts - set(asked))
+        # One more than wanted, as the reader may be drawn again.
         count = GOSSIP_FANOUT + 1 - len(asked)
-        return asked + self._random.sample(rest, min(count, len(rest)))
+        drawn = self._random.sample(hosts, min(count + 1, len(hosts)))
+        rest = [host for host in drawn if host not in asked]
+        return asked + rest[:count]
+
+    def _known_hosts(self) -> list[str]:
+        """Hosts other than this one, computed once for each list of hosts."""
+        hosts, introduced = self._fleet_view.directory.hosts(), len(self._introduced)
+        listed, known, count = self._gossip_hosts
+        if listed is not hosts or count != introduced:
+            names = self._introduced | {host for host, _ in hosts}
+            names.discard(self._fleet_view.host)
+            known = sorted(names)
+            self._gossip_hosts = (hosts, known, introduced)
+        return known
 
     def check_links(self) -> None:
         """Break silent links, and try to reach lost hosts again."""
@@ -491,9 +507,9 @@
             LOGGER.info("link to node lost", extra=fields)
         self._retry_at[host] = self._clock() + RECONNECT_DELAY_SECONDS
         self._unreachable.add(host)
-        known = {name for name, _ in self._fleet_view.directory.hosts()}
-        if host not in known:
+        if host not in self._fleet_view.host_zones:
             self._introduced.discard(host)
+            self._gossip_hosts = (None, [], 0)
             self._unreachable.discard(host)
 
 
