Ping on links that are opened without a call

Cause: a link that was opened again after a reset, or to try a lost host, carried no message. The other node closes a connection that stays silent for 2 s, which counts as a reset, so the link was opened again, without end: each such link cost two connections every 2 to 2.5 s and a line 'load shed', and a call that met the end of the link failed. In a small fleet gossip soon pinged the host; at 1,400 hosts that takes minutes.

Change: such links are pinged at once. A lost host gets calls again when it answers the ping, not when its kernel accepts a connection, which it also does for a frozen process.

--- a/damaskramp/relay/link_health.py
+++ b/damaskramp/relay/link_health.py
@@ -36,6 +36,11 @@
         self._awaiting_since: float | None = None
         self._delivered = 0
 
+    @property
+    def is_awaiting(self) -> bool:
+        """Whether an answer is awaited and nothing has been received since."""
+        return self._awaiting_since is not None
+
     def record_opened(self, now: float) -> None:
         """Record that the link has been opened, perhaps with open questions."""
         self._moved_at = self._checked_at = now
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -110,6 +110,11 @@
         """Number of answers whose bodies are arriving."""
         return len(self._answers)
 
+    @property
+    def is_awaiting(self) -> bool:
+        """Whether the other node has to answer something."""
+        return self._health.is_awaiting
+
     def open(self) -> None:
         """Start to connect."""
         self._task = asyncio.get_running_loop().create_task(self._connect())
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -376,6 +376,9 @@
         ) = message
         state = unpack_evacuations(evacuations)
         self._record_peer(host, leaving)
+        if host in self._unreachable:
+            self._unreachable.discard(host)
+            LOGGER.info("link to node regained", extra={"host": host})
         fleet_view = self._fleet_view
         update = DirectoryUpdate(
             [unpack_server(server) for server in servers],
@@ -443,12 +446,15 @@
             )
 
     def _probe_unreachable(self) -> None:
-        """Try to reach lost hosts; they get calls again once a link is up."""
-        for host in list(self._unreachable):
+        """Try to reach lost hosts; they get calls again once they answer a ping.
+
+        A connection alone proves nothing: the kernel accepts it for a process that is
+        frozen. The other node closes one on which it receives nothing.
+        """
+        for host in self._unreachable:
             link = self._link(host)
-            if link is not None and link.state is LinkState.UP:
-                self._unreachable.discard(host)
-                LOGGER.info("link to node regained", extra={"host": host})
+            if link is not None and not link.is_awaiting:
+                self._ping(link)
 
     def _record_peer(self, host: str, leaving: bool) -> None:
         if host not in self._introduced:
@@ -500,7 +506,7 @@
         if was_reset and host not in self._unreachable:
             # The host answers: its node may have ended, or only the connection has.
             self._counters.add("peer_links", reason="reset")
-            self._open_link(host)
+            self._ping(self._open_link(host))
             return
         if host not in self._unreachable:
             fields = {"host": host, "cause": cause, "open_calls": open_calls}
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from damaskramp.core import ByteBudget
+from damaskramp.relay.link_gate import SILENT_SECONDS
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.peer_link import LinkState, PeerLink
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, ok, route
@@ -195,6 +196,57 @@
         got = self.run_scenario(scenario, ("svc", "far"), config)
         self.assertEqual((200, set()), got)
 
+    def test_link_opened_without_a_call_is_kept(self):
+        """The other node would close it as silent, together with a call on its way."""
+
+        async def scenario(fleet):
+            node, host = fleet.nodes[0], fleet.host(1)
+            peers = node._peers
+            await fleet.ask("/a")
+            await asyncio.sleep(0.3)
+            # Gossip would ping this host soon only in a small fleet.
+            gossip = node._periodic_timers[0]
+            gossip.cancel()
+            if loses_host:
+                peers._links.pop(host).close()
+                peers._unreachable.add(host)
+                await fleet.until(lambda: not peers._unreachable)
+            else:
+                fleet.nodes[1]._links.abort()
+                await asyncio.sleep(0.05)
+            link = peers._links[host]
+            await asyncio.sleep(SILENT_SECONDS + 1.0)
+            shed = fleet.nodes[1]._counters.values.get(("shed", "links"), 0)
+            return peers._links.get(host) is link, shed
+
+        config = configuration(1, [route("far", "/")], CLUBS)
+        for loses_host in (False, True):
+            with self.subTest(loses_host):
+                got = self.run_scenario(scenario, ("svc", "far"), config)
+                self.assertEqual((True, 0), got)
+
+    def test_host_that_does_not_answer_stays_unreachable(self):
+        """The kernel of a host accepts links for a process that is frozen."""
+
+        async def scenario(fleet):
+            peers = fleet.nodes[0]._peers
+            accepted = []
+            server = await asyncio.start_server(
+                lambda reader, writer: accepted.append(writer), fleet.host(2), 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            host, known = fleet.host(2), peers._port
+            peers._port = port
+            peers._unreachable.add(host)
+            peers._introduced.add(host)
+            await fleet.until(lambda: accepted)
+            peers._port = known
+            await asyncio.sleep(0.3)
+            server.close()
+            return host in peers._unreachable
+
+        self.assertTrue(self.run_scenario(scenario, ("svc", "far")))
+
     def test_call_on_a_link_that_never_opened_is_not_run(self):
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
