Keep the host of a server with its description

Cause: while any host of the fleet is lost or leaving, each choice splits the address of each server that it considers.

Change: BackendServer holds the host.

Conclusion: a lost host elsewhere in the fleet no longer makes calls dearer.

--- a/damaskramp/fleet/model.py
+++ b/damaskramp/fleet/model.py
@@ -275,6 +275,8 @@
         Number of the server's report since its start; 0 if not reported.
     epoch : Epoch
         Epoch of the store that listed this description.
+    host : str
+        IP address of the server's host.
     """
 
     id: ServerId
@@ -288,13 +290,13 @@
     revision: Revision
     report_number: int = 0
     epoch: Epoch = NO_EPOCH
+    host: str = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        # Each request compares the hosts of the servers that it may be sent to.
+        object.__setattr__(self, "host", self.address.rpartition(":")[0])
 
     @property
     def report(self) -> ServerReport:
         """Report that this description stems from."""
         return ServerReport(self.started, self.report_number)
-
-    @property
-    def host(self) -> str:
-        """IP address of the server's host."""
-        return self.address.rpartition(":")[0]
