Share hosts: compute few scores again when hosts join or leave

Cause: a change of the list of hosts took a hash for each team and host, also where it decided nothing. While a fleet starts, the list changes several times a second.

Change: dispatch.share_hosts keeps the choice of each team and zone. A host that joins is compared with the chosen ones; one that leaves matters only if it was chosen.

--- a/benchmarks/fleet_background.py
+++ b/benchmarks/fleet_background.py
@@ -295,6 +295,26 @@
 
         return run
 
+    def prepare_host(self):
+        """A host that joins or has left, with what the next request computes anew."""
+        extra = [replace(s, id=f"x-{s.id}") for s in self.servers[:1]]
+        extra = [replace(s, address=f"{_address(1 << 20)}:8105") for s in extra]
+
+        def run():
+            self.advance(30.0)
+            self.revision += 1
+            position = StorePosition(EPOCH, Revision(self.revision))
+            listed = self.view.directory.is_listed(extra[0].id)
+            removed = [Removal(extra[0].id, position.revision, EPOCH)] * listed
+            added = [replace(s, revision=position.revision) for s in extra]
+            self.view.directory.merge([] if listed else added, removed, position)
+            self.advance(30.0)
+            self.view.directory.hosts()
+            _ = self.view.readers, self.view.own_server
+            self.node._permits._update()
+
+        return run
+
     def prepare_broadcast(self):
         changes = self._change()
         self.peers._link = lambda host: self._random.choice(self.links)
@@ -430,6 +450,7 @@
     "answer to a new peer": ("prepare_answer_whole", 0, 5),
     "change of a server": ("prepare_change", 0, 30),
     "removal and return": ("prepare_removal", 0, 30),
+    "host joins or is gone": ("prepare_host", 0, 20),
     "broadcast of a change": ("prepare_broadcast", 0, 50),
     "update taken again": ("prepare_update", 0, 100),
     "configuration read again": ("prepare_configuration", 0, 4),
--- a/damaskramp/dispatch/shared_rate.py
+++ b/damaskramp/dispatch/shared_rate.py
@@ -19,11 +19,11 @@
 from dataclasses import dataclass, field
 
 from damaskramp.core.ids import TeamId, ZoneName
-from damaskramp.core.rendezvous import rendezvous_score
 from damaskramp.dispatch.lender_estimates import LenderEstimates, LenderSettings
+from damaskramp.dispatch.share_hosts import ShareHosts
 from damaskramp.fleet.model import Team
 
-__all__ = ["SharedRate", "SharedRateSettings", "TeamRates", "share_hosts_of"]
+__all__ = ["SharedRate", "SharedRateSettings", "TeamRates"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,36 +71,6 @@
     lenders: LenderSettings = field(default_factory=LenderSettings)
 
 
-def share_hosts_of(
-    team: Team, hosts: Iterable[tuple[str, ZoneName]], min_burst_per_host: float
-) -> list[str]:
-    """Hosts that a team's rate is divided among.
-
-    Every zone has the same number of share hosts, unless it has fewer hosts, so that
-    each zone can serve the team alone.
-
-    Examples
-    --------
-    >>> team = Team("clubs", frozenset(), None, rate=2.0, burst=2.0)
-    >>> hosts = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")]
-    >>> len(share_hosts_of(team, hosts, 4.0)), len(share_hosts_of(team, hosts, 0.5))
-    (2, 4)
-    """
-    zones: dict[ZoneName, list[str]] = {}
-    for host, zone in hosts:
-        zones.setdefault(zone, []).append(host)
-    wanted = int(max(team.burst, team.rate) / min_burst_per_host)
-    hosts_per_zone = max(1, wanted // max(1, len(zones)))
-    share_hosts: list[str] = []
-    for members in zones.values():
-        if hosts_per_zone >= len(members):
-            share_hosts += members
-        else:
-            members.sort(key=lambda host: rendezvous_score(host, team.name))
-            share_hosts += members[-hosts_per_zone:]
-    return sorted(share_hosts)
-
-
 class SharedRate:
     """One host's permits of one team.
 
@@ -240,6 +210,7 @@
         self._random = random_source
         self._rates: dict[TeamId, SharedRate] = {}
         self._share_hosts: dict[TeamId, list[str]] = {}
+        self._chosen = ShareHosts(settings.min_burst_per_host)
         self._lenders: dict[TeamId, LenderEstimates] = {}
         self._applied: dict[TeamId, Team] = {}
         self._hosts: list[tuple[str, ZoneName]] = []
@@ -261,18 +232,21 @@
     ) -> None:
         """Apply a new configuration or list of hosts.
 
-        Only teams that have changed are computed anew, or all if the hosts have: each
-        takes a score for each host.
+        Only teams that have changed are computed anew, or all if the hosts have.
         """
         limited = {team.name: team for team in teams if team.rate > 0}
         for name in [name for name in self._rates if name not in limited]:
             del self._rates[name], self._share_hosts[name], self._lenders[name]
-        applied = self._applied if hosts == self._hosts else {}
+        applied = self._applied
+        if hosts != self._hosts:
+            applied = {}
+            self._chosen.update(hosts)
+        self._chosen.retain(limited)
         self._applied, self._hosts = limited, hosts
         for name, team in limited.items():
             if applied.get(name) == team:
                 continue
-            share_hosts = share_hosts_of(team, hosts, self._settings.min_burst_per_host)
+            share_hosts = self._chosen.of(team)
             self._share_hosts[name] = share_hosts
             part = 1.0 / max(1, len(share_hosts))
             share = part if self._host in share_hosts else 0.0
