Decode a configuration once, however often it arrives

Cause: a reader decodes each new document several times, as its watch, its poll and the other readers of the zone hand it on.

Change: the client of the store returns the last configuration for an equal document.

Conclusion: what is left is the decoding of base64 and the comparison.

--- a/damaskramp/platform/store.py
+++ b/damaskramp/platform/store.py
@@ -91,6 +91,7 @@
         self._counters = counters
         self._reads_evacuations = reads_evacuations
         self._epoch = NO_EPOCH
+        self._decoded: FleetConfiguration | None = None
         self._unreadable_epoch: list[bytes] = []
 
     async def snapshot(self) -> SourceSnapshot:
@@ -168,7 +169,7 @@
     def decode(self, document: bytes) -> FleetConfiguration:
         """Decode a configuration that another host passed on."""
         try:
-            return decode_configuration(document)
+            return self._decode_document(document)
         except DecodeError as error:
             raise SourceError(str(error)) from error
 
@@ -220,11 +221,21 @@
     ) -> tuple[FleetConfiguration | None, str]:
         """Decode the configuration of an entry; None and the reason on failure."""
         try:
-            return decode_configuration(_decode_value(item)), ""
+            return self._decode_document(_decode_value(item)), ""
         except DecodeError as error:
             self._record_unreadable(CONFIGURATION_KEY, error)
             return None, str(error)
 
+    def _decode_document(self, document: bytes) -> FleetConfiguration:
+        """Decode a configuration, or return the last one if the document is the same.
+
+        A reader gets each document several times: by its watch and its poll, from the
+        other readers of its zone, and in each snapshot.
+        """
+        if self._decoded is None or self._decoded.document != document:
+            self._decoded = decode_configuration(document)
+        return self._decoded
+
     def _decode_server_entry(
         self, item: dict[str, Any], epoch: Epoch
     ) -> BackendServer | None:
