--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -207,7 +207,7 @@
             await fleet.ask("/a")
             await asyncio.sleep(0.3)
             # Gossip would ping this host soon only in a small fleet.
-            gossip = node._periodic_timers[0]
+            gossip = node._periodic_work._timers[0]
             gossip.cancel()
             if loses_host:
                 peers._links.pop(host).close()
@@ -277,7 +277,7 @@
             peers, host = fleet.nodes[0]._peers, fleet.host(1)
             await fleet.ask("/a")
             for node in fleet.nodes:
-                for timer in node._periodic_timers:
+                for timer in node._periodic_work._timers:
                     timer.cancel()
             peers._links.pop(host).close()
             peers._unreachable.add(host)
