Links: calls whose packets were lost are dropped with a silent link

Cause: a link that is silent for 0.6 s was closed without a reset.

Change: the close of a silent link resets the connection, as an abandoned request does at the backend server. A link that is closed because it is idle, or by a stop, still delivers what was sent.

Result: test_peer_link fails before (the other node reads on to the end of the stream) and passes now.

--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -12,6 +12,7 @@
 
 from damaskramp.core import Counters, Reason
 from damaskramp.dispatch import Load
+from damaskramp.http import discard_on_close
 from damaskramp.relay.body_source import BytesBody
 from damaskramp.relay.body_transfer import BodySender
 from damaskramp.relay.incoming_answer import IncomingAnswers
@@ -196,6 +197,9 @@
         if self._sender.unfinished:
             self._health.record_delivered(self.delivered_bytes(), self._marked, now)
         if self._health.is_dead(now):
+            # TCP would send calls whose packets were lost again after the close, and
+            # they would run when nobody waits for them.
+            discard_on_close(self._transport)
             self._mark_down("silent", sent=True)
             return False
         return self.open_calls > 0 and self._health.silence(now) > PROBE_AFTER_SECONDS
