Directory: hosts, remembered deletions and listed servers are objects of their own

A server that was listed again after a deletion of an earlier epoch had been overridden lost the time of its entry, so its warm-up never ended for others. The zone of a host is looked up in one place (zone_of) rather than three.

--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -20,6 +20,8 @@
 
 from damaskramp.core.ids import ServiceName, ZoneName
 from damaskramp.fleet.epoch_order import EpochOrder
+from damaskramp.fleet.host_list import HostList
+from damaskramp.fleet.listed_servers import ListedServers
 from damaskramp.fleet.model import (
     NO_EPOCH,
     BackendServer,
@@ -29,18 +31,10 @@
     ServerId,
     StorePosition,
 )
+from damaskramp.fleet.removals import Removals
 
 __all__ = ["REREGISTRATION_SECONDS", "Directory", "DirectoryUpdate"]
 
-TOMBSTONE_SECONDS = 600.0
-"""Time for which a deletion is remembered. It is longer than a peer that serves traffic
-can be cut off before it hands on the old description, and than a copy from which the
-store is restored is old."""
-
-LATE_REMOVAL_SECONDS = 30.0
-"""Time for which a late removal is handed on whatever its revision. Gossip reaches all
-hosts within a few seconds, and those that were cut off soon after their return."""
-
 REREGISTRATION_SECONDS = 2.0
 """Time after the platform's return, in seconds, within which live servers are described
 again, according to the platform."""
@@ -50,17 +44,6 @@
 server again. By then the store has deleted a server that is gone: it does so after
 three missed heartbeats."""
 
-HOST_RETENTION_SECONDS = 20.0
-"""Time for which a host still counts after its server was last listed. It is twice the
-longest window over which rates are counted, so that the shares of the remaining hosts
-do not rise early when the list shrinks."""
-
-
-HOSTS_CACHE_SECONDS = 1.0
-"""Time for which the list of hosts is cached, so that reading it many times a second
-costs the same for a fleet of any size. It is a small part of `HOST_RETENTION_SECONDS`.
-"""
-
 
 class DirectoryUpdate(NamedTuple):
     """What one directory tells another.
@@ -86,26 +69,26 @@
     ----------
     clock : callable
         Monotonic clock in seconds.
+
+    Attributes
+    ----------
+    warmup_left : callable
+        `ListedServers.warmup_left`, which is called for many requests.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._servers: dict[ServerId, BackendServer] = {}
-        self._removed: dict[ServerId, tuple[Removal, float]] = {}
-        self._late: dict[ServerId, Removal] = {}
+        self._listed = ListedServers(clock)
+        self.warmup_left = self._listed.warmup_left
+        self._removals = Removals(clock)
+        self._hosts = HostList(clock)
         self._overridden: dict[ServerId, tuple[BackendServer, float]] = {}
-        self._received_at: dict[ServerId, float] = {}
-        self._by_service: dict[ServiceName, list[BackendServer]] = {}
-        self._hosts_last_listed: dict[str, tuple[float, ZoneName]] = {}
         self._deferred: dict[ServerId, Removal] = {}
         self._defer_until = float("-inf")
         self._position = StorePosition(NO_EPOCH, Revision(0))
         self._order = EpochOrder(NO_EPOCH, Revision(0))
-        self._deletions_known_after = Revision(0)
-        self._earlier: tuple[BackendServer, ...] = ()
         self._generation = 0
         self._outdated = 0
-        self._hosts: tuple[float, int, list[tuple[str, ZoneName]]] = (0.0, -1, [])
 
     @property
     def position(self) -> StorePosition:
@@ -135,12 +118,12 @@
     @property
     def servers(self) -> tuple[BackendServer, ...]:
         """All listed backend servers."""
-        return tuple(self._servers.values())
+        return tuple(self._listed.by_id.values())
 
     @property
     def removed(self) -> tuple[Removal, ...]:
         """Deletions that are still remembered."""
-        return tuple(removal for removal, _ in self._removed.values())
+        return self._removals.all
 
     def update_for(self, position: StorePosition) -> DirectoryUpdate:
         """Collect what a peer lacks that is complete up to a position.
@@ -149,20 +132,19 @@
         this directory has never known or has forgotten.
         """
         epoch, revision = position
-        if epoch != self.epoch or revision < self._deletions_known_after:
+        if epoch != self.epoch or revision < self._removals.known_after:
             return DirectoryUpdate(
-                list(self._servers.values()), list(self.removed), self._position, True
+                list(self._listed.by_id.values()),
+                list(self.removed),
+                self._position,
+                True,
             )
-        servers, removed = list(self._earlier), list(self._late.values())
+        servers, removed = list(self._listed.earlier), self._removals.late
         if self.revision > revision:
-            removed += [
-                removal
-                for removal, _ in self._removed.values()
-                if removal.epoch == epoch and removal.revision > revision
-            ]
+            removed += self._removals.after(position)
             servers += [
                 server
-                for server in self._servers.values()
+                for server in self._listed.by_id.values()
                 if server.epoch == epoch and server.revision > revision
             ]
         return DirectoryUpdate(servers, removed, self._position, False)
@@ -181,19 +163,16 @@
             return is_whole and self.replace(servers, position, removed)
         if is_whole and position.epoch == self.epoch:
             removed = [*removed, *self._missing_from(servers, position)]
-            self._deletions_known_after = max(
-                self._deletions_known_after, position.revision
-            )
+            self._removals.know_after(position.revision)
         return self.merge(servers, removed, position)
 
     def removal_of(self, server: ServerId) -> Removal | None:
         """Deletion of a server's description; None if none is remembered."""
-        found = self._removed.get(server)
-        return found[0] if found is not None else None
+        return self._removals.of(server)
 
     def of_service(self, service: ServiceName) -> list[BackendServer]:
         """Backend servers of a service, leaving ones included."""
-        return self._by_service.get(service, [])
+        return self._listed.by_service.get(service, [])
 
     def find_by_address(
         self, address: str, service: ServiceName
@@ -202,31 +181,19 @@
 
         Of several lifetimes of the server, the latest is returned.
         """
-        found = [s for s in self.of_service(service) if s.address == address]
-        return max(
-            found,
-            key=lambda s: (s.started, s.epoch == self.epoch, s.revision),
-            default=None,
-        )
+        return self._listed.find_by_address(address, service, self.epoch)
 
     def find(self, server: ServerId) -> BackendServer | None:
         """Description of a server; None if it is not listed."""
-        return self._servers.get(server)
-
-    def warmup_left(self, server: BackendServer) -> float:
-        """Seconds until a listed server is warm, counted down from its latest entry."""
-        received_at = self._received_at.get(server.id)
-        if not server.warmup or received_at is None:
-            return server.warmup
-        return max(0.0, server.warmup - (self._clock() - received_at))
+        return self._listed.by_id.get(server)
 
     def is_listed(self, server: ServerId) -> bool:
         """Whether a server is listed."""
-        return server in self._servers
+        return server in self._listed.by_id
 
     def was_removed(self, server: ServerId) -> bool:
         """Whether the deletion of a server's description is still remembered."""
-        return server in self._removed
+        return server in self._removals.by_server
 
     def defer_removals(self, until: float) -> None:
         """Defer removals until a clock time in seconds."""
@@ -238,9 +205,7 @@
         The return value tells whether the directory changed.
         """
         now = self._clock()
-        for name in list(self._late):
-            if now - self._removed[name][1] > LATE_REMOVAL_SECONDS:
-                del self._late[name]
+        self._removals.forget_late()
         changed = self._restore_overridden(now - OVERRIDE_SECONDS)
         if not self._deferred or now < self._defer_until:
             return changed
@@ -253,20 +218,12 @@
         The same list object is returned until the directory changes, for a second at
         most.
         """
-        now = self._clock()
-        cached_at, generation, hosts = self._hosts
-        if generation == self._generation and now - cached_at < HOSTS_CACHE_SECONDS:
-            return hosts
-        for server in self._servers.values():
-            self._hosts_last_listed[server.host] = (now, server.zone)
-        for host, (last_listed, _) in list(self._hosts_last_listed.items()):
-            if now - last_listed > HOST_RETENTION_SECONDS:
-                del self._hosts_last_listed[host]
-        hosts = [
-            (host, zone) for host, (_, zone) in sorted(self._hosts_last_listed.items())
-        ]
-        self._hosts = (now, self._generation, hosts)
-        return hosts
+        return self._hosts.hosts(self._listed.by_id.values(), self._generation)
+
+    def zone_of(self, host: str) -> ZoneName | None:
+        """Zone of one of the hosts; None if there is no such host."""
+        self.hosts()
+        return self._hosts.zone_of(host)
 
     def merge(
         self,
@@ -309,7 +266,7 @@
         if enters_epoch:
             self._enter_epoch(position)
         missing = self._missing_from(servers, position)
-        self._deletions_known_after = position.revision
+        self._removals.known_after = position.revision
         # Servers that the store lists exist, whatever peers have reported, so they
         # skip the check for known deletions.
         changed = self._merge(servers, [*removed, *missing], position)
@@ -324,7 +281,7 @@
         listed = {server.id for server in servers}
         return [
             Removal(name, position.revision, position.epoch, server.report)
-            for name, server in self._servers.items()
+            for name, server in self._listed.by_id.items()
             if name not in listed
             and (server.epoch != self.epoch or server.revision <= position.revision)
         ]
@@ -333,7 +290,7 @@
         self._position = position
         self._order = EpochOrder(*position)
         self._overridden.clear()
-        if self._servers:
+        if self._listed.by_id:
             self.defer_removals(self._clock() + REREGISTRATION_SECONDS)
 
     def _is_known_deleted(self, server: BackendServer) -> bool:
@@ -343,7 +300,7 @@
         lacks was deleted. A process that has just started needs this check, because it
         has no tombstones of earlier deletions.
         """
-        if server.id in self._servers:
+        if server.id in self._listed.by_id:
             return False
         return server.epoch != self.epoch or server.revision <= self.revision
 
@@ -365,7 +322,7 @@
         return changed
 
     def _add_server(self, server: BackendServer) -> bool:
-        known = self._servers.get(server.id)
+        known = self._listed.by_id.get(server.id)
         if known is not None and not self._order.is_newer(server, known):
             self._outdated += known != server
             return False
@@ -375,19 +332,14 @@
             if server.epoch == self.epoch and removal.epoch != self.epoch:
                 self._overridden.setdefault(server.id, (server, self._clock()))
             return False
-        self._forget_removal(server.id)
+        self._removals.forget(server.id)
         self._overridden.pop(server.id, None)
-        self._servers[server.id] = server
-        self._received_at[server.id] = self._clock()
+        self._listed.add(server, self._clock())
         return True
 
-    def _forget_removal(self, server: ServerId) -> None:
-        self._removed.pop(server, None)
-        self._late.pop(server, None)
-
     def _remove_server(self, removal: Removal) -> bool:
         name = removal.server
-        known = self._servers.get(name)
+        known = self._listed.by_id.get(name)
         if known is not None:
             if not self._order.is_removed_by(known, removal):
                 return False
@@ -399,49 +351,33 @@
             remembered = self.removal_of(name)
             if remembered and not self._order.is_later_removal(removal, remembered):
                 return False
-        self._removed[name] = (removal, self._clock())
-        if removal.epoch != self.epoch or removal.revision <= self.revision:
-            # Peers that are complete up to its revision may lack it.
-            self._late[name] = removal
-        else:
-            self._late.pop(name, None)
+        self._removals.add(removal, self._position)
         if removal.epoch == self.epoch:
             self._overridden.pop(name, None)
         if known is None:
             return False
         if known.epoch == self.epoch and removal.epoch != self.epoch:
             self._overridden[name] = (known, self._clock())
-        self._hosts_last_listed[known.host] = (self._clock(), known.zone)
-        del self._servers[name]
-        self._received_at.pop(name, None)
+        self._hosts.record_removed(known)
+        self._listed.remove(name)
         return True
 
     def _restore_overridden(self, before: float) -> bool:
         """List servers again that the store has gone on listing since a clock time."""
         restored = [
-            server for server, since in self._overridden.values() if since <= before
+            (server, since)
+            for server, since in self._overridden.values()
+            if since <= before
         ]
-        for server in restored:
+        for server, since in restored:
             del self._overridden[server.id]
-            self._forget_removal(server.id)
-            self._servers[server.id] = server
+            self._removals.forget(server.id)
+            self._listed.add(server, since)
         if restored:
             self._rebuild()
         return bool(restored)
 
     def _rebuild(self) -> None:
-        now = self._clock()
         self._generation += 1
-        self._by_service = {}
-        for server in self._servers.values():
-            self._by_service.setdefault(server.service, []).append(server)
-        self._earlier = tuple(
-            server for server in self._servers.values() if server.epoch != self.epoch
-        )
-        for name, (removal, deleted_at) in list(self._removed.items()):
-            if now - deleted_at > TOMBSTONE_SECONDS:
-                self._forget_removal(name)
-                if removal.epoch == self.epoch:
-                    self._deletions_known_after = max(
-                        self._deletions_known_after, removal.revision
-                    )
+        self._listed.index(self.epoch)
+        self._removals.forget_old(self.epoch)
--- a/damaskramp/relay/load_sharing.py
+++ b/damaskramp/relay/load_sharing.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from damaskramp.core import ServiceName, ZoneName
+from damaskramp.core import ServiceName
 from damaskramp.dispatch import KnownLoad, Load, LoadExchange, ServerSelector
 from damaskramp.dispatch.zone_distances import ZoneDistances
 from damaskramp.fleet import ServerId
@@ -48,7 +48,6 @@
         self._distances = distances
         self._own_load = own_load
         self._clock = clock
-        self._zones: tuple[object, dict[str, ZoneName]] = (None, {})
 
     def ping_fields(self) -> list:
         """Services that this node asks about, and the load of its own server."""
@@ -89,7 +88,7 @@
         """
         if not isinstance(loads, list):
             raise ValueError(f"{loads!r} does not describe loads")
-        zone = self._zone_of(host)
+        zone = self._fleet_view.directory.zone_of(host)
         if zone is not None and took >= 0.0:
             self._distances.record(zone, took)
         self._take(loads[:MAX_ELEMENTS])
@@ -119,12 +118,6 @@
         pace = round(100 * known.pace)
         return [known.server, age, known.in_flight, known.limit, pace]
 
-    def _zone_of(self, host: str) -> ZoneName | None:
-        hosts = self._fleet_view.directory.hosts()
-        if self._zones[0] is not hosts:
-            self._zones = (hosts, dict(hosts))
-        return self._zones[1].get(host)
-
 
 def _unpack(fields: object, now: float) -> KnownLoad:
     check_types(fields, LOAD_TYPES, "the load of a server")
