Peers: links, states of hosts and the exchange of the fleet are objects of their own

Cause: relay/peers.py (507 lines) had three jobs. Three faults: close() raised RuntimeError if a call that broke off was sent to another host; the time of the next try was kept for each host that was ever lost; an announcement to leave ended only with the next request, so the status page showed it until then. Change: peer_links, peer_hosts and fleet_exchange; peers.py (195 lines) calls and gossips. Links that are closed open no others. The log of a restored store is written in one place.

--- a/damaskramp/relay/node_pages.py
+++ b/damaskramp/relay/node_pages.py
@@ -107,7 +107,7 @@
             **parts.evacuation_observer.gauges(),
             **parts.executor.warmup.gauges(),
             "link_uploads": float(parts.links.uploads),
-            "link_answers": float(parts.peers.arriving_answers),
+            "link_answers": float(parts.peers.links.arriving_answers),
             "call_body_bytes": float(budgets.calls.used),
             "answer_body_bytes": float(budgets.passing_answers.used),
             **self._account_gauges(),
--- a/damaskramp/relay/node_parts.py
+++ b/damaskramp/relay/node_parts.py
@@ -192,7 +192,7 @@
             distances.round_trip,
         )
         loads = LoadExchange(ExchangeSettings(), directory.of_service, self._random)
-        self.peers.load_sharing = LoadSharing(
+        self.peers.exchange.load_sharing = LoadSharing(
             self.fleet_view,
             loads,
             self.selector,
@@ -232,10 +232,10 @@
         )
         self.links = LinkService(
             self.executor,
-            self.peers.answer_ping,
+            self.peers.exchange.answer_ping,
             self.permits.lend,
             self.permits.receive_returned,
-            self.peers.receive_update,
+            self.peers.exchange.receive_update,
             self._clock,
             self.counters,
             self.budgets.calls,
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -1,53 +1,27 @@
-"""Links to other nodes, and the gossip that keeps their fleet views up to date.
+"""Other nodes: calls and loans over links to them, and gossip.
 
-Several times a second, each node asks a few others for their fleet views. The answer
-carries the age of the other node's proof and the data that the asking node lacks, and
-nothing else. Changes therefore also reach nodes that the platform refuses. A node that
-starts without knowing any other learns of the others when they ask it.
+Several times a second, each node asks a few others for their fleet views. Changes
+therefore also reach nodes that the platform refuses. A node that starts without knowing
+any other learns of the others when they ask it.
 """
 
 import asyncio
 import contextlib
-import logging
 import random
 from collections.abc import Callable
 
 from damaskramp.core import ByteBudget, Counters, Reason
-from damaskramp.dispatch import Death
-from damaskramp.fleet import (
-    BackendServer,
-    DirectoryUpdate,
-    EvacuationState,
-    FleetConfiguration,
-    FleetSource,
-    Freshness,
-    Removal,
-    SourceChanges,
-    SourceError,
-)
-from damaskramp.relay.evacuation_messages import pack_evacuations, unpack_evacuations
+from damaskramp.fleet import FleetSource, SourceChanges
+from damaskramp.relay.fleet_exchange import FleetExchange
 from damaskramp.relay.fleet_view import FleetView
-from damaskramp.relay.load_sharing import LoadSharing
-from damaskramp.relay.memory_queue import MemoryQueue
-from damaskramp.relay.messages import (
-    Call,
-    Kind,
-    check_host,
-    pack_document,
-    pack_removal,
-    pack_server,
-    unpack_document,
-    unpack_position,
-    unpack_removal,
-    unpack_server,
-)
+from damaskramp.relay.messages import Call, Kind
 from damaskramp.relay.outcome_sink import Cancel, OutcomeSink
-from damaskramp.relay.peer_link import LinkState, LoanCallback, PeerLink
+from damaskramp.relay.peer_hosts import PeerHosts
+from damaskramp.relay.peer_link import LoanCallback, PeerLink
+from damaskramp.relay.peer_links import PeerLinks
 
 __all__ = ["Peers"]
 
-LOGGER = logging.getLogger(__name__)
-
 GOSSIP_FANOUT = 1
 """Peers asked in each round besides a reader of the own zone. Data that no reader has
 reaches all hosts in about log(hosts) rounds."""
@@ -59,25 +33,9 @@
 """Peers that a node asks at once when it starts. Some may be out of reach, or may have
 just started themselves."""
 
-RECONNECT_DELAY_SECONDS = 0.25
-"""Delay before a broken link is opened again, in seconds."""
-
-LINK_IDLE_SECONDS = 30.0
-"""Idle time after which a link is closed, in seconds."""
-
-LEAVING_SECONDS = 8.0
-"""Time, in seconds, for which a node that has announced that it is leaving gets no
-calls: a little more than a stop may take. A node that has started again says so."""
-
-MAX_PROOF_AGE_SECONDS = 1e6
-"""Age in seconds above which there is no proof."""
-
-MAX_SERVERS_PER_PONG = 2000
-"""Most backend servers in one answer to a ping, about 200 KB."""
-
 
 class Peers:
-    """Links to the nodes of other hosts.
+    """Nodes of other hosts.
 
     Parameters
     ----------
@@ -88,8 +46,14 @@
 
     Attributes
     ----------
-    load_sharing : LoadSharing or None
-        Sharing of the loads of servers in pings and pongs; None for none.
+    hosts : PeerHosts
+        States of the other hosts.
+    links : PeerLinks
+        Links to them.
+    exchange : FleetExchange
+        What pings, pongs and updates say of the fleet.
+    usable : callable
+        `PeerHosts.usable`, which is called for every request.
     """
 
     def __init__(
@@ -102,32 +66,19 @@
         random_source: random.Random,
         memory: ByteBudget,
     ) -> None:
-        self._port = port
-        self._memory = MemoryQueue(memory)
         self._fleet_view = fleet_view
-        self._source = source
-        self._clock = clock
-        self._counters = counters
         self._random = random_source
-        self._links: dict[str, PeerLink] = {}
-        self._retry_at: dict[str, float] = {}
-        self._leaving: dict[str, float] = {}
-        self._unreachable: set[str] = set()
-        self._introduced: set[str] = set()
-        self._packed_version = 0
-        self._packed_document = b""
         self._informed = asyncio.Event()
-        self.leaving = False
-        self.load_sharing: LoadSharing | None = None
-
-    @property
-    def arriving_answers(self) -> int:
-        """Number of answers whose bodies are arriving on the links."""
-        return sum(link.arriving_answers for link in self._links.values())
+        self.hosts = PeerHosts(fleet_view, clock)
+        self.usable = self.hosts.usable
+        self.exchange = FleetExchange(fleet_view, self.hosts, source, clock, counters)
+        self.links = PeerLinks(
+            port, self.hosts, clock, counters, memory, self._receive_pong
+        )
 
     def call(self, host: str, call: Call, reply: OutcomeSink) -> Cancel:
         """Send a call to another node; return a function that cancels it."""
-        link = self._link(host)
+        link = self.links.get(host)
         if link is None:
             reply.refused(Reason.CONNECT_FAILED, 0.0, False, None)
             return _cancel_unsent
@@ -142,7 +93,7 @@
         done: LoanCallback,
     ) -> None:
         """Ask another node for permits; `done` gets those lent and those left there."""
-        link = self._link(host)
+        link = self.links.get(host)
         if link is None:
             done(0.0, 0.0)
         else:
@@ -150,105 +101,68 @@
 
     def return_permits(self, host: str, team: str, amount: float) -> None:
         """Return permits to a share host, which can use them."""
-        link = self._link(host)
+        link = self.links.get(host)
         if link is not None:
             link.send((Kind.GIVE_BACK, team, amount))
 
-    def state_of(self, host: str) -> str:
-        """State of another host's node: unreachable, leaving or live."""
-        if host in self._unreachable:
-            return "unreachable"
-        return "leaving" if host in self._leaving else "live"
-
-    def reachable(self, hosts: list[str]) -> list[str]:
-        """Select the other hosts that can be reached."""
-        own = self._fleet_view.host
-        return [h for h in hosts if h != own and h not in self._unreachable]
-
     def in_own_zone(self, hosts: list[str]) -> set[str]:
         """Select the hosts in this node's availability zone."""
-        zones = dict(self._fleet_view.directory.hosts())
-        return {host for host in hosts if zones.get(host) == self._fleet_view.zone}
+        directory, zone = self._fleet_view.directory, self._fleet_view.zone
+        return {host for host in hosts if directory.zone_of(host) == zone}
 
     def gossip(self) -> None:
         """Ask some peers for their fleet views, and close idle links."""
         hosts = {host for host, _ in self._fleet_view.directory.hosts()}
-        hosts |= self._introduced
+        hosts |= self.hosts.introduced
         hosts.discard(self._fleet_view.host)
-        for host in self._gossip_targets(hosts):
-            link = self._link(host)
-            if link is not None:
-                self._ping(link)
-        now = self._clock()
-        for link in list(self._links.values()):
-            if not link.open_calls and now - link.last_used_at > LINK_IDLE_SECONDS:
-                del self._links[link.host]
-                link.close()
+        self._ping_hosts(self._gossip_targets(hosts))
+        self.hosts.forget_old()
+        self.links.close_idle()
 
     async def consult(self, seconds: float) -> None:
         """Ask peers; wait until one has answered that has proof, for a time at most."""
         hosts = [host for host, _ in self._fleet_view.directory.hosts()]
-        hosts = self.reachable(hosts)
+        hosts = self.hosts.reachable(hosts)
         self._informed.clear()
-        for host in self._random.sample(hosts, min(CONSULTED_PEERS, len(hosts))):
-            link = self._link(host)
-            if link is not None:
-                self._ping(link)
+        self._ping_hosts(self._random.sample(hosts, min(CONSULTED_PEERS, len(hosts))))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
                 await self._informed.wait()
 
-    def _gossip_targets(self, hosts: set[str]) -> list[str]:
-        """Choose a reader of the own zone, which has the newest proof, and others."""
-        readers = set(self._fleet_view.readers)
-        near = sorted((readers & hosts) - self._unreachable)
-        asked = self._random.sample(near, min(1, len(near)))
-        rest = sorted(hosts - set(asked))
-        count = GOSSIP_FANOUT + 1 - len(asked)
-        return asked + self._random.sample(rest, min(count, len(rest)))
-
     def check_links(self) -> None:
         """Break silent links, and try to reach lost hosts again."""
-        for link in list(self._links.values()):
-            if link.check():
-                self._ping(link)
-        self._probe_unreachable()
+        for link in self.links.check():
+            self._ping(link)
 
     def announce_leaving(self) -> None:
         """Tell all linked peers at once that this node is leaving."""
-        self.leaving = True
-        for link in list(self._links.values()):
-            if link.state is LinkState.UP:
-                self._ping(link)
+        self.exchange.leaving = True
+        for link in self.links.up:
+            self._ping(link)
 
     def broadcast_changes(self, changes: SourceChanges) -> None:
         """Send changes at once to peers of the own zone; the others ask for them."""
-        document = b""
-        if changes.configuration is not None:
-            document = self._packed(changes.configuration)
-        update = (
-            Kind.UPDATE,
-            self._fleet_view.version,
-            document,
-            [pack_server(server) for server in changes.servers],
-            [pack_removal(self._known_removal(one)) for one in changes.removed],
-            pack_evacuations(self._fleet_view.evacuations),
-        )
-        links = {self._link(host) for host in self._broadcast_targets()}
+        update = self.exchange.update_message(changes)
+        links = {self.links.get(host) for host in self._broadcast_targets()}
         if changes.evacuations:
             # Evacuations are rare, and each second before they take effect has a cost.
-            links |= {
-                link for link in self._links.values() if link.state is LinkState.UP
-            }
+            links.update(self.links.up)
         for link in links:
             if link is not None:
                 link.send(update)
 
-    def _known_removal(self, removal: Removal) -> Removal:
-        """Complete a removal with the server's report, which the store doesn't say."""
-        known = self._fleet_view.directory.removal_of(removal.server)
-        same = known is not None and known[:3] == removal[:3]
-        return known if same else removal
+    def close(self) -> None:
+        """Close all links."""
+        self.links.close()
+
+    def _gossip_targets(self, hosts: set[str]) -> list[str]:
+        """Choose a reader of the own zone, which has the newest proof, and others."""
+        readers = set(self._fleet_view.readers)
+        near = sorted((readers & hosts) - self.hosts.unreachable)
+        asked = self._random.sample(near, min(1, len(near)))
+        rest = sorted(hosts - set(asked))
+        count = GOSSIP_FANOUT + 1 - len(asked)
+        return asked + self._random.sample(rest, min(count, len(rest)))
 
     def _broadcast_targets(self) -> list[str]:
         """Choose some hosts of the own zone; other zones have readers of their own."""
@@ -260,246 +174,18 @@
         ]
         return self._random.sample(hosts, min(BROADCAST_FANOUT, len(hosts)))
 
-    def _packed(self, configuration: FleetConfiguration) -> bytes:
-        """Packed document of a configuration for other nodes, cached by version."""
-        if self._packed_version != configuration.version:
-            self._packed_version = configuration.version
-            self._packed_document = pack_document(configuration.document)
-        return self._packed_document
-
-    def receive_update(self, message: list) -> None:
-        """Apply changes that a peer has read from the platform."""
-        _, version, document, servers, removed, evacuations = message
-        state = unpack_evacuations(evacuations)
-        # No request may be sent on the way that a configuration opens before the
-        # evacuated zones are known.
-        self._merge_evacuations(state, self._fleet_view.freshness.now)
-        if version > self._fleet_view.version:
-            self._adopt_document(document)
-        self._fleet_view.directory.merge(
-            [unpack_server(server) for server in servers],
-            [unpack_removal(removal) for removal in removed],
-        )
-
-    def close(self) -> None:
-        """Close all links."""
-        for link in self._links.values():
-            link.close()
-        self._links.clear()
-
-    def answer_ping(self, ping: list) -> tuple:
-        """Record the sender of a ping; return the fields of the answer."""
-        _, asked_at, host, version, epoch, revision, leaving, evacuations, loads = ping
-        known = unpack_position([epoch, revision])
-        state = unpack_evacuations(evacuations)
-        self._record_peer(host, leaving)
-        fleet_view = self._fleet_view
-        self._merge_evacuations(state, fleet_view.freshness.now)
-        configuration = fleet_view.configuration
-        document = b""
-        if configuration is not None and configuration.version > version:
-            document = self._packed(configuration)
-        update = fleet_view.directory.update_for(known)
-        servers = update.servers[:MAX_SERVERS_PER_PONG]
-        fits = len(servers) == len(update.servers)
-        deaths = fleet_view.suspects.recent_deaths(self._clock())
-        return (
-            asked_at,
-            fleet_view.version,
-            _packed_age(fleet_view.freshness),
-            document,
-            [pack_server(server) for server in servers],
-            [pack_removal(removal) for removal in update.removed],
-            update.position.epoch,
-            _packed_age(fleet_view.epoch_freshness),
-            update.position.revision if fits else 0,
-            update.is_whole and fits,
-            [(death.fingerprint, death.server) for death in deaths],
-            self.leaving,
-            pack_evacuations(fleet_view.evacuations),
-            self.load_sharing.pong_fields(loads) if self.load_sharing else [],
-        )
+    def _ping_hosts(self, hosts: list[str]) -> None:
+        for host in hosts:
+            link = self.links.get(host)
+            if link is not None:
+                self._ping(link)
 
-    def usable(self, servers: list[BackendServer]) -> list[BackendServer]:
-        """Select the servers that stay and whose nodes can be reached and stay."""
-        announcements = self._fleet_view.leaving_announcements
-        if announcements:
-            servers = [
-                server
-                for server in servers
-                if not announcements.holds(server.id, server.started)
-            ]
-        if not self._leaving and not self._unreachable:
-            return servers
-        now = self._clock()
-        for host in [host for host, until in self._leaving.items() if until < now]:
-            del self._leaving[host]
-        return [
-            server
-            for server in servers
-            if server.host not in self._leaving and server.host not in self._unreachable
-        ]
+    def _ping(self, link: PeerLink) -> None:
+        link.ping(*self.exchange.ping_fields())
 
     def _receive_pong(self, host: str, message: list) -> None:
-        (
-            _,
-            asked_at,
-            version,
-            age,
-            document,
-            servers,
-            removed,
-            epoch,
-            epoch_age,
-            revision,
-            is_whole,
-            deaths,
-            leaving,
-            evacuations,
-            loads,
-        ) = message
-        state = unpack_evacuations(evacuations)
-        self._record_peer(host, leaving)
-        fleet_view = self._fleet_view
-        update = DirectoryUpdate(
-            [unpack_server(server) for server in servers],
-            [unpack_removal(removal) for removal in removed],
-            unpack_position([epoch, revision]),
-            is_whole,
-        )
-        stated_at = asked_at - epoch_age if epoch_age >= 0 else float("-inf")
-        self._apply_update(update, stated_at)
-        self._merge_evacuations(state, asked_at)
-        if version > fleet_view.version:
-            self._adopt_document(document)
-        # The peer's proof holds for the peer's version. Of a newer one the document may
-        # be missing; an older one may come from a store that was restored from a copy.
-        if age >= 0 and version and fleet_view.version >= version:
-            if fleet_view.version == version:
-                fleet_view.freshness.confirm_by_peer(asked_at, age)
+        if self.exchange.receive_pong(host, message):
             self._informed.set()
-        fleet_view.suspects.record_deaths(
-            (Death(*death) for death in deaths), self._clock()
-        )
-        if self.load_sharing is not None:
-            took = fleet_view.freshness.now - asked_at
-            self.load_sharing.receive_pong(host, loads, took)
-
-    def _apply_update(self, update: DirectoryUpdate, stated_at: float) -> None:
-        """Apply a peer's update; the store stated the peer's epoch at a given time."""
-        fleet_view = self._fleet_view
-        directory, before = fleet_view.directory, fleet_view.directory.position
-        is_later = fleet_view.states_later_epoch(update.position.epoch, stated_at)
-        directory.apply_update(update, is_later)
-        if directory.epoch != before.epoch:
-            LOGGER.info(
-                "platform's data restored, says a node",
-                extra={
-                    "epoch": directory.epoch,
-                    "revision": directory.revision,
-                    "previous_epoch": before.epoch,
-                    "previous_revision": before.revision,
-                },
-            )
-        if update.position.epoch == directory.epoch:
-            fleet_view.epoch_freshness.confirm(stated_at)
-
-    def _merge_evacuations(
-        self, state: EvacuationState | None, asked_at: float
-    ) -> None:
-        """Merge a peer's evacuations, unless it knows no complete list of them."""
-        fleet_view = self._fleet_view
-        if fleet_view.evacuations is not None and state is not None:
-            fleet_view.evacuations.merge(state, fleet_view.directory.epoch, asked_at)
-
-    def _adopt_document(self, document: bytes) -> None:
-        if not document:
-            return
-        try:
-            if self._fleet_view.adopt_configuration(
-                self._source.decode(unpack_document(document))
-            ):
-                self._counters.add("configurations", reason="peer")
-        except (SourceError, ValueError) as error:
-            self._counters.add("peer_documents_unreadable")
-            LOGGER.warning(
-                "document of a peer unreadable", extra={"reason": str(error)}
-            )
-
-    def _probe_unreachable(self) -> None:
-        """Try to reach lost hosts; they get calls again once a link is up."""
-        for host in list(self._unreachable):
-            link = self._link(host)
-            if link is not None and link.state is LinkState.UP:
-                self._unreachable.discard(host)
-                LOGGER.info("link to node regained", extra={"host": host})
-
-    def _record_peer(self, host: str, leaving: bool) -> None:
-        if host not in self._introduced:
-            check_host(host)
-            self._introduced.add(host)
-        if leaving:
-            self._leaving[host] = self._clock() + LEAVING_SECONDS
-        else:
-            self._leaving.pop(host, None)
-
-    def _ping(self, link: PeerLink) -> None:
-        fleet_view = self._fleet_view
-        link.ping(
-            fleet_view.freshness.now,
-            fleet_view.host,
-            fleet_view.version,
-            *fleet_view.directory.position,
-            self.leaving,
-            pack_evacuations(fleet_view.evacuations),
-            self.load_sharing.ping_fields() if self.load_sharing else [[], []],
-        )
-
-    def _link(self, host: str) -> PeerLink | None:
-        link = self._links.get(host)
-        if link is not None:
-            return link
-        if self._clock() < self._retry_at.get(host, 0.0):
-            return None
-        return self._open_link(host)
-
-    def _open_link(self, host: str) -> PeerLink:
-        link = PeerLink(
-            host,
-            self._port,
-            self._clock,
-            self._counters,
-            self._memory,
-            self._receive_pong,
-            self._on_link_down,
-        )
-        self._links[host] = link
-        link.open()
-        return link
-
-    def _on_link_down(
-        self, host: str, cause: str, open_calls: int, was_reset: bool
-    ) -> None:
-        self._links.pop(host, None)
-        if was_reset and host not in self._unreachable:
-            # The host answers: its node may have ended, or only the connection has.
-            self._counters.add("peer_links", reason="reset")
-            self._open_link(host)
-            return
-        if host not in self._unreachable:
-            fields = {"host": host, "cause": cause, "open_calls": open_calls}
-            LOGGER.info("link to node lost", extra=fields)
-        self._retry_at[host] = self._clock() + RECONNECT_DELAY_SECONDS
-        self._unreachable.add(host)
-        known = {name for name, _ in self._fleet_view.directory.hosts()}
-        if host not in known:
-            self._introduced.discard(host)
-            self._unreachable.discard(host)
-
-
-def _packed_age(proof: Freshness) -> float:
-    """Age of a proof in seconds for a message; -1 if there is none."""
-    return proof.age if proof.age < MAX_PROOF_AGE_SECONDS else -1.0
 
 
 def _cancel_unsent() -> bool:
--- a/damaskramp/relay/periodic_work.py
+++ b/damaskramp/relay/periodic_work.py
@@ -64,7 +64,7 @@
         parts.retry_budget.resize(len(directory.hosts()))
         parts.cold_hints.resize(len(directory.hosts()))
         parts.selector.retain({server.id for server in directory.servers})
-        parts.peers.load_sharing.retain()
+        parts.peers.exchange.load_sharing.retain()
         parts.peers.gossip()
 
     def _sweep(self) -> None:
--- a/damaskramp/relay/permits.py
+++ b/damaskramp/relay/permits.py
@@ -110,7 +110,7 @@
             return
         min_permits, max_permits = rate.wanted_loan(len(waiting))
         lenders = self._rates.lenders(team.name)
-        reachable = self._peers.reachable(self._rates.share_hosts(team.name))
+        reachable = self._peers.hosts.reachable(self._rates.share_hosts(team.name))
         others = [host for host in reachable if host not in asked]
         near = self._peers.in_own_zone(others)
         lender = lenders.choose(
--- a/damaskramp/relay/status_page.py
+++ b/damaskramp/relay/status_page.py
@@ -30,7 +30,7 @@
         findings = configuration.findings[:MAX_SHOWN_FINDINGS]
         bundle = {"version": configuration.version, "digest": digest}
     members = [
-        {"host": host, "zone": zone, "state": peers.state_of(host)}
+        {"host": host, "zone": zone, "state": peers.hosts.state_of(host)}
         for host, zone in fleet_view.directory.hosts()
     ]
     page = {
--- a/damaskramp/relay/tests/test_permits.py
+++ b/damaskramp/relay/tests/test_permits.py
@@ -19,6 +19,7 @@
     """Fake of the other hosts: the first one asked stays silent, the others lend."""
 
     def __init__(self):
+        self.hosts = self
         self.asked = []
         self.late_callback = None
 
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -89,7 +89,7 @@
     def test_updates_stay_in_the_zone_and_are_compressed(self):
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
-            packed = peers._packed(fleet.nodes[0]._fleet_view.configuration)
+            packed = peers.exchange.packed(fleet.nodes[0]._fleet_view.configuration)
             document = fleet.nodes[0]._fleet_view.configuration.document
             return (
                 peers._broadcast_targets(),
@@ -173,11 +173,15 @@
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
             await fleet.ask("/a")
-            link = peers._links[fleet.host(1)]
+            link = peers.links.by_host[fleet.host(1)]
             link.last_used_at -= 60.0
             peers.gossip()
-            fresh = peers._links.get(fleet.host(1))
-            return fresh is link, set(peers._unreachable), (await fleet.ask("/a"))[0]
+            fresh = peers.links.by_host.get(fleet.host(1))
+            return (
+                fresh is link,
+                set(peers.hosts.unreachable),
+                (await fleet.ask("/a"))[0],
+            )
 
         config = configuration(1, [route("far", "/")], CLUBS)
         got = self.run_scenario(scenario, ("svc", "far"), config)
@@ -189,7 +193,9 @@
             await asyncio.sleep(0.3)
             fleet.nodes[1]._links.abort()
             await asyncio.sleep(0.05)
-            return (await fleet.ask("/a"))[0], set(fleet.nodes[0]._peers._unreachable)
+            return (await fleet.ask("/a"))[0], set(
+                fleet.nodes[0]._peers.hosts.unreachable
+            )
 
         config = configuration(1, [route("far", "/")], CLUBS)
         got = self.run_scenario(scenario, ("svc", "far"), config)
@@ -198,8 +204,8 @@
     def test_call_on_a_link_that_never_opened_is_not_run(self):
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
-            await fleet.until(lambda: fleet.host(1) in peers._links)
-            link = peers._links[fleet.host(1)]
+            await fleet.until(lambda: fleet.host(1) in peers.links.by_host)
+            link = peers.links.by_host[fleet.host(1)]
             await fleet.until(lambda: link.state is LinkState.UP)
             # This link opens no connection, as if its opening packet were lost.
             lost = PeerLink(
@@ -211,7 +217,7 @@
                 lambda *fields: None,
                 lambda *fields: None,
             )
-            peers._links[fleet.host(1)] = lost
+            peers.links.by_host[fleet.host(1)] = lost
             got = await fleet.ask("/a", method="POST", extra="X-Timeout-Ms: 200\r\n")
             lost.open()
             await fleet.until(lambda: lost.state is LinkState.UP)
--- a/tests/test_relay_configuration.py
+++ b/tests/test_relay_configuration.py
@@ -160,7 +160,7 @@
             before = fleet_view.freshness._proved_at
             await fleet.until(lambda: fleet_view.freshness._proved_at > before)
             listed = [server.id for server in fleet_view.directory.servers]
-            peers = fleet.nodes[0]._peers._introduced
+            peers = fleet.nodes[0]._peers.hosts.introduced
             return listed, fleet_view.version, {type(host) for host in peers} - {str}
 
         self.assertEqual((["i-0"], 1, set()), self.run_scenario(scenario))
--- a/tests/test_relay_pace.py
+++ b/tests/test_relay_pace.py
@@ -53,7 +53,9 @@
                 for server in (1, 3)
             ]
             loads = [node._executor.own_load().pace for node in fleet.nodes]
-            sharing = [node._peers.load_sharing.ping_fields() for node in fleet.nodes]
+            sharing = [
+                node._peers.exchange.load_sharing.ping_fields() for node in fleet.nodes
+            ]
             return known, loads, sharing
 
         for figures in (b"1,0,8", b"1,0,8,much", b"", b"\xff\xff,,,"):
--- a/tests/test_relay_rates.py
+++ b/tests/test_relay_rates.py
@@ -24,7 +24,7 @@
             # The first node has tried to reach others before they were started.
             peers = fleet.nodes[0]._peers
             hosts = [fleet.host(n) for n in range(1, 4)]
-            await fleet.until(lambda: peers.reachable(hosts) == hosts)
+            await fleet.until(lambda: peers.hosts.reachable(hosts) == hosts)
             began = time.monotonic()
             statuses = [(await fleet.ask("/a"))[0] for _ in range(3 * RATE)]
             return statuses, time.monotonic() - began
