Connections of callers: memory, start and timeouts of requests apart; no import cycle

Change: caller_context holds what connections share, request_charges the memory of a connection's requests, request_starter hands them on, caller_timeouts knows the time for each part. The reservation of a head was written three times and is written once. The reader needs no import of the listener either.

--- a/damaskramp/relay/caller_listener.py
+++ b/damaskramp/relay/caller_listener.py
@@ -1,4 +1,4 @@
-"""Listener for callers, with the state that their connections share."""
+"""Listener for callers, with the registry of their connections."""
 
 from collections import deque
 from collections.abc import Callable
@@ -7,6 +7,7 @@
 from damaskramp.fleet.model import CallerLimits
 from damaskramp.relay.caller_buffers import ReadBuffer
 from damaskramp.relay.caller_connection import CallerConnection
+from damaskramp.relay.caller_context import CallerContext
 from damaskramp.relay.caller_memory import BodyWaiter, CallerMemory, CallerShares
 from damaskramp.relay.caller_request import RequestHandler
 from damaskramp.relay.headers import ReservedNames
@@ -16,14 +17,14 @@
 
 
 class CallerListener:
-    """Registry of all callers' connections, and their memory.
+    """Registry of all callers' connections.
 
     Attributes
     ----------
-    memory_account : CallerMemory
-        Memory and descriptors of the connections.
-    read_buffer : ReadBuffer
-        Buffer that every connection is read into, one at a time.
+    connections : set of CallerConnection
+        Open connections.
+    context : CallerContext
+        State that they share.
     """
 
     def __init__(
@@ -35,30 +36,19 @@
         shares: CallerShares,
         shedding_log: SheddingLog,
     ) -> None:
-        self.handler = handler
-        self.names = names
-        self.clock = clock
-        self.counters = counters
-        self.limits = CallerLimits()
         self.connections: set[CallerConnection] = set()
-        self.closing = False
-        self.read_buffer = ReadBuffer()
-        self.memory_account = CallerMemory(
-            shares, self.connections, clock, shedding_log
-        )
-
-    def connect(self) -> CallerConnection:
-        """Create the protocol of a new connection."""
-        return CallerConnection(self)
+        self._memory = CallerMemory(shares, self.connections, clock, shedding_log)
+        self.context = CallerContext(handler, names, clock, counters, self._memory)
+        self._read_buffer = ReadBuffer()
 
     @property
     def memory(self) -> MemoryShare:
         """Memory of bodies over 64 KiB."""
-        return self.memory_account.bodies.share
+        return self._memory.bodies.share
 
     @property
     def _memory_waiters(self) -> deque[BodyWaiter]:
-        return self.memory_account.bodies.waiters
+        return self._memory.bodies.waiters
 
     @property
     def unanswered(self) -> int:
@@ -70,24 +60,32 @@
         """Number of connections with an answer that is not sent completely."""
         return sum(connection.has_unsent for connection in self.connections)
 
+    def connect(self) -> CallerConnection:
+        """Create the protocol of a new connection."""
+        return CallerConnection(self.context, self.connections, self._read_buffer)
+
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Apply the limits of a configuration."""
+        self.context.limits = limits
+
     def announce_close(self) -> None:
         """Close each connection after its next answer."""
-        self.closing = True
+        self.context.closing = True
 
     def release_memory(self, size: int) -> None:
         """Release the bytes of a body, and resume connections that wait for memory."""
-        self.memory_account.bodies.release(size)
+        self._memory.bodies.release(size)
 
     def sweep(self) -> None:
         """Close connections that have been idle, slow or stalled for too long."""
-        now = self.clock()
+        now = self.context.clock()
         for connection in list(self.connections):
             connection.check_timeouts(now)
-        self.memory_account.sweep()
+        self._memory.sweep()
 
     def close_idle(self) -> None:
         """Close idle connections, and the others after their answer."""
-        self.closing = True
+        self.context.closing = True
         for connection in list(self.connections):
             connection.close_if_idle()
 
--- a/damaskramp/relay/caller_reader.py
+++ b/damaskramp/relay/caller_reader.py
@@ -8,16 +8,14 @@
 
 from abc import abstractmethod
 from enum import IntEnum
-from typing import TYPE_CHECKING
 
 import httptools
 
+from damaskramp.relay.caller_context import CallerContext
 from damaskramp.relay.caller_memory import BodyMemory, BodyWaiter
 from damaskramp.relay.caller_request import AnswerSink, CallerRequest
 from damaskramp.relay.headers import names_fields
-
-if TYPE_CHECKING:
-    from damaskramp.relay.caller_listener import CallerListener
+from damaskramp.relay.request_charges import RequestCharges
 
 __all__ = ["ReadStatus", "RequestReader", "RequestSink"]
 
@@ -37,9 +35,6 @@
 """A body has progressed when a 64th of it, and at least 1,024 bytes, has arrived. A
 caller that sends a byte now and then makes no progress by this measure."""
 
-REQUEST_BYTES = 2048
-"""Memory of a request's objects without its head and body, in bytes, rounded up."""
-
 
 class ReadStatus(IntEnum):
     """HTTP status with which a request is refused while it is read; OK for none."""
@@ -66,10 +61,6 @@
     def write_continue(self) -> None:
         """Tell the caller to send the body."""
 
-    @abstractmethod
-    def charge(self, size: int) -> bool:
-        """Reserve memory for a head; return whether there is room."""
-
 
 class RequestReader(BodyWaiter):
     """Parser of one connection.
@@ -84,10 +75,13 @@
         Clock time, in seconds, of the request's begin or its body's last progress.
     """
 
-    def __init__(self, listener: "CallerListener", sink: RequestSink) -> None:
-        self._listener = listener
-        self._names = listener.names
+    def __init__(
+        self, context: CallerContext, sink: RequestSink, charges: RequestCharges
+    ) -> None:
+        self._context = context
+        self._names = context.names
         self._sink = sink
+        self._charges = charges
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._body_wire_bytes = 0
@@ -97,7 +91,7 @@
         self._early_status = ReadStatus.OK
         self.request: CallerRequest | None = None
         self.head_done = True
-        self.progressed_at = listener.clock()
+        self.progressed_at = context.clock()
 
     @property
     def is_waiting(self) -> bool:
@@ -135,7 +129,7 @@
         request = self.request
         if request is None:
             return ReadStatus.OK
-        if not self.head_done and self._head_bytes > self._listener.limits.header_bytes:
+        if not self.head_done and self._head_bytes > self._context.limits.header_bytes:
             return ReadStatus.HEAD_TOO_LARGE
         if self._early_status:
             return self._early_status
@@ -143,16 +137,15 @@
 
     def _check_memory(self, request: CallerRequest) -> ReadStatus:
         """Reserve memory for what is stored of a request that is not complete."""
-        limit = self._listener.limits.header_bytes
+        limit = self._context.limits.header_bytes
         if self.is_chunked:
             allowed = limit + MAX_CHUNK_OVERHEAD * len(request.body)
             if self._body_wire_bytes - len(request.body) > allowed:
                 return ReadStatus.HEAD_TOO_LARGE
         if not request.head_charge:
-            size = REQUEST_BYTES + (request.head_bytes if self.head_done else limit)
-            if not self._sink.charge(size):
+            head_bytes = request.head_bytes if self.head_done else limit
+            if not self._charges.reserve_head(request, head_bytes):
                 return ReadStatus.OVERLOADED
-            request.head_charge = size
         return ReadStatus.OK
 
     def stop(self) -> CallerRequest | None:
@@ -168,7 +161,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         request = self.request = CallerRequest(self._sink)
-        self.progressed_at = request.started = self._listener.clock()
+        self.progressed_at = request.started = self._context.clock()
         self.head_done = False
 
     def on_url(self, url: bytes) -> None:
@@ -215,10 +208,7 @@
         self.head_done = True
         self._head_bytes = self._body_wire_bytes = self._next_mark = 0
         request = self.request
-        if (
-            request.head_bytes + len(request.target)
-            > self._listener.limits.header_bytes
-        ):
+        if request.head_bytes + len(request.target) > self._context.limits.header_bytes:
             request.error_status = 431
         request.method = self._parser.get_method()
         request.closes_connection = not self._parser.should_keep_alive()
@@ -245,34 +235,31 @@
         if len(request.body) >= self._next_mark:
             step = max(MIN_PROGRESS_BYTES, (request.length or 0) // PROGRESS_SHARE)
             self._next_mark = len(request.body) + step
-            self.progressed_at = self._listener.clock()
+            self.progressed_at = self._context.clock()
 
     def _reserve(self, request: CallerRequest, size: int) -> None:
         """Reserve memory for a body or a part of one; stop reading if there is none."""
         held = request.reserved_bytes + request.small_bytes + self._awaited_bytes + size
-        if held > self._listener.limits.body_bytes:
+        if held > self._context.limits.body_bytes:
             self._early_status = ReadStatus.TOO_LARGE
         elif self._awaited_bytes:
             self._awaited_bytes += size
-        elif (
-            held <= SMALL_BODY_BYTES
-            and self._listener.memory_account.small_bodies.reserve(size)
-        ):
-            request.small_bytes += size
-        elif held > SMALL_BODY_BYTES and self._listener.memory_account.bodies.reserve(
+        elif held <= SMALL_BODY_BYTES and self._context.memory.small_bodies.reserve(
             size
         ):
+            request.small_bytes += size
+        elif held > SMALL_BODY_BYTES and self._context.memory.bodies.reserve(size):
             request.reserved_bytes += size
         else:
             self._awaits_small = held <= SMALL_BODY_BYTES
             self._awaited_bytes = size
-            self._listener.counters.add("bodies_held_back")
+            self._context.counters.add("bodies_held_back")
             self._awaited_from.wait(self)
             self._sink.update_reading()
 
     @property
     def _awaited_from(self) -> BodyMemory:
-        memory = self._listener.memory_account
+        memory = self._context.memory
         return memory.small_bodies if self._awaits_small else memory.bodies
 
     def reserve_memory(self) -> bool:
@@ -282,7 +269,7 @@
         if not self._awaited_from.reserve(self._awaited_bytes):
             return False
         self._record_awaited()
-        self.progressed_at = self._listener.clock()
+        self.progressed_at = self._context.clock()
         return True
 
     def _record_awaited(self) -> None:
--- a/damaskramp/relay/caller_request.py
+++ b/damaskramp/relay/caller_request.py
@@ -18,6 +18,13 @@
     for status in HTTPStatus
 }
 
+REASON_BY_STATUS = {
+    413: Reason.TOO_LARGE,
+    431: Reason.TOO_LARGE,
+    503: Reason.OVERLOADED,
+}
+"""Reasons by the status of answers to invalid requests; others are bad requests."""
+
 STATUS_OVERRIDES = {Reason.QUARANTINED: 503}
 """HTTP statuses that differ from ``STATUS_BY_REASON``, the product's own interface: the
 platform's callers never retry after a 422, but a suspicion may be wrong."""
@@ -157,6 +164,12 @@
         status = STATUS_OVERRIDES.get(reason, STATUS_BY_REASON[reason])
         self.respond_plain(status, reason, outcome, retry_after)
 
+    def reject(self, status: int) -> None:
+        """Answer a request that can't be handled, and close its connection after it."""
+        self.closes_connection = True
+        reason = REASON_BY_STATUS.get(status, Reason.BAD_REQUEST)
+        self.respond_plain(status, reason, Outcome.NOT_RUN)
+
     def respond_plain(
         self, status: int, reason: Reason, outcome: Outcome, retry_after: float = 0
     ) -> None:
--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -153,7 +153,7 @@
         self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
     def _on_configuration(self, configuration: FleetConfiguration) -> None:
-        self._listener.limits = configuration.limits
+        self._listener.set_limits(configuration.limits)
         self._executor.update_team_rates(
             {team.name: team.rate for team in configuration.teams}
         )
--- a/tests/test_relay_fuzz.py
+++ b/tests/test_relay_fuzz.py
@@ -89,14 +89,14 @@
     def test_unexpected_error_is_answered_and_affects_no_other_request(self):
         async def scenario(fleet):
             node = fleet.nodes[0]
-            handle = node._listener.handler.handle
+            handle = node._listener.context.handler.handle
 
             def fail(request):
                 if request.path == "/bad":
                     raise RuntimeError("raised by the test")
                 handle(request)
 
-            node._listener.handler.handle = fail
+            node._listener.context.handler.handle = fail
             bad = await fleet.ask("/bad")
             return bad[0], b"unknown" in bad[2], (await fleet.ask("/a"))[0]
 
--- a/tests/test_relay_kept_connections.py
+++ b/tests/test_relay_kept_connections.py
@@ -76,5 +76,5 @@
 
 
 def body_shares(listener):
-    account = listener.memory_account
+    account = listener._memory
     return account.bodies.share, account.small_bodies.share
--- a/tests/test_relay_memory.py
+++ b/tests/test_relay_memory.py
@@ -85,7 +85,7 @@
         async def scenario(fleet):
             offset = [0.0]
             listener = fleet.nodes[0]._listener
-            listener.clock = lambda: time.monotonic() + offset[0]
+            listener.context.clock = lambda: time.monotonic() + offset[0]
             reader, writer = await fleet.connect()
             writer.write(
                 b"GET /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q1\r\n"
@@ -101,7 +101,7 @@
                     received += len(await reader.readexactly(65_536))
                 await asyncio.sleep(0.01)
                 offset[0] += 15.0
-                connection.check_timeouts(listener.clock())
+                connection.check_timeouts(listener.context.clock())
             return received
 
         def large(request):
--- a/tests/test_relay_stops.py
+++ b/tests/test_relay_stops.py
@@ -120,7 +120,7 @@
         async def scenario(fleet):
             stopping = asyncio.ensure_future(fleet.nodes[0].stop())
             listener = fleet.nodes[0]._listener
-            await fleet.until(lambda: listener.closing)
+            await fleet.until(lambda: listener.context.closing)
             reader, writer = await fleet.connect()
             for n in range(3):
                 writer.write(
