Queue of a server: slots, the two queues, limits and run times are objects of their own

Change: server_slots, two_queues, outcome_limits, kind_times and slot_settings. Mean run times by kind are kept in KindTimes, bounded, here and in server_pace.

--- a/benchmarks/relay_overload.py
+++ b/benchmarks/relay_overload.py
@@ -70,7 +70,7 @@
         self.waiting = {"front": [], "deep": []}
         if control == "slots":
             for queue in self.queues.values():
-                queue._bound = lambda priority, now: _Unbounded()
+                queue._bounds.of = lambda priority, now: _Unbounded()
 
     def schedule(self, when, action, *arguments):
         heapq.heappush(self.events, (when, next(self.order), action, arguments))
--- a/damaskramp/dispatch/__init__.py
+++ b/damaskramp/dispatch/__init__.py
@@ -40,7 +40,8 @@
 from damaskramp.dispatch.server_pace import ServerPace, ServerPaceSettings, parse_pace
 from damaskramp.dispatch.server_rate import ServerRate, ServerRateSettings
 from damaskramp.dispatch.shared_rate import SharedRate, SharedRateSettings, TeamRates
-from damaskramp.dispatch.slots import QueueDecision, SlotQueue, SlotSettings
+from damaskramp.dispatch.slot_settings import SlotSettings
+from damaskramp.dispatch.slots import QueueDecision, SlotQueue
 from damaskramp.dispatch.suspects import Death, Suspects, SuspectSettings
 from damaskramp.dispatch.warmup import HealthAnswer, Warmth, WarmupSettings
 from damaskramp.dispatch.work import Work
--- a/damaskramp/dispatch/server_pace.py
+++ b/damaskramp/dispatch/server_pace.py
@@ -11,6 +11,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+from damaskramp.dispatch.kind_times import KindTimes
+
 __all__ = ["ServerPace", "ServerPaceSettings", "parse_pace"]
 
 USUAL_PACE = 100.0
@@ -27,9 +29,6 @@
 """Shortest time between two points at which the pace is kept, in seconds, to bound the
 history of a server that answers often."""
 
-MAX_KINDS = 256
-"""Most kinds of requests whose run times are kept; a server has some dozen routes."""
-
 
 def parse_pace(load: bytes) -> float:
     """Parse the pace out of the load that a server states; 0 if it states none.
@@ -99,7 +98,7 @@
         self._stated_at = -math.inf
         self._integral = 0.0
         self._history: deque[tuple[float, float]] = deque()
-        self._run_times: dict[str, float] = {}
+        self._run_times = KindTimes(settings.run_weight)
 
     def value(self, now: float) -> float:
         """Pace as a multiple of the usual; 0 if none was stated lately."""
@@ -144,13 +143,7 @@
         pace = self._mean_since(now - took, now)
         if not pace:
             return
-        usual = took / pace
-        known = self._run_times.get(kind)
-        if known is None:
-            if len(self._run_times) >= MAX_KINDS:
-                self._run_times.clear()
-            known = usual
-        self._run_times[kind] = known + self._settings.run_weight * (usual - known)
+        self._run_times.record(kind, took / pace)
 
     def _mean_since(self, start: float, now: float) -> float:
         """Mean pace since a clock time in seconds; 0 if none was stated lately."""
--- a/damaskramp/dispatch/tests/test_slots.py
+++ b/damaskramp/dispatch/tests/test_slots.py
@@ -198,7 +198,7 @@
 
         simulation = Simulation(200, lambda work: 0.1, fails)
         if not limited:
-            simulation.queue._bound = lambda priority, now: _Unlimited()
+            simulation.queue._bounds.of = lambda priority, now: _Unlimited()
         for at in poisson(200, 20.0, source):
             simulation.arrive(at, new_request(at))
         simulation.run(30.0)
