Selection: settings and the record of a server are modules of their own

In expected_finish, run times of all kinds were cleared by each report once 256 kinds were known. Change: selection_settings, server_record; a choice looks each record up once. Run times are kept in KindTimes, which makes room only for a new kind.

--- a/benchmarks/server_pace.py
+++ b/benchmarks/server_pace.py
@@ -25,7 +25,8 @@
 )
 from damaskramp.dispatch.load import Load
 from damaskramp.dispatch.load_exchange import ExchangeSettings, LoadExchange
-from damaskramp.dispatch.selection import SelectionSettings, ServerSelector
+from damaskramp.dispatch.selection import ServerSelector
+from damaskramp.dispatch.selection_settings import SelectionSettings
 from damaskramp.dispatch.server_pace import ServerPace, ServerPaceSettings
 from damaskramp.fleet import BackendServer
 
--- a/damaskramp/dispatch/__init__.py
+++ b/damaskramp/dispatch/__init__.py
@@ -36,7 +36,8 @@
 from damaskramp.dispatch.route_times import RouteTimes
 from damaskramp.dispatch.routes import RouteEntry, RouteTable
 from damaskramp.dispatch.running_requests import RunningRequests, StartedRequest
-from damaskramp.dispatch.selection import SelectionSettings, ServerSelector
+from damaskramp.dispatch.selection import ServerSelector
+from damaskramp.dispatch.selection_settings import SelectionSettings
 from damaskramp.dispatch.server_pace import ServerPace, ServerPaceSettings, parse_pace
 from damaskramp.dispatch.server_rate import ServerRate, ServerRateSettings
 from damaskramp.dispatch.shared_rate import SharedRate, SharedRateSettings, TeamRates
--- a/damaskramp/dispatch/expected_finish.py
+++ b/damaskramp/dispatch/expected_finish.py
@@ -13,10 +13,11 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from damaskramp.core.ids import ZoneName
+from damaskramp.dispatch.kind_times import KindTimes
 from damaskramp.dispatch.load import Load
 from damaskramp.fleet.model import BackendServer, ServerId
 
@@ -26,9 +27,6 @@
 """Run time in seconds that is assumed for a kind that no server has run; it is short,
 so that new servers receive requests soon."""
 
-MAX_KINDS = 256
-"""Most kinds of requests whose run times are kept for one server and for the fleet."""
-
 
 @dataclass(frozen=True, slots=True)
 class FinishSettings:
@@ -117,7 +115,7 @@
         self.mean_load = 0.0
         self.pace = 0.0
         self.stated_at = 0.0
-        self.run_times: dict[str, float] = {}
+        self.run_times = KindTimes(weight=1.0)
         self.queue_waits: dict[int, tuple[float, float]] = {}
 
 
@@ -144,9 +142,9 @@
         self._random = random_source
         self._round_trip = round_trip
         self._records: dict[ServerId, _CapabilityRecord] = {}
-        self._run_times: dict[str, float] = {}
+        self._run_times = KindTimes(settings.run_weight)
 
-    def is_informed(self, servers: Collection[BackendServer], now: float) -> bool:
+    def is_informed(self, servers: Iterable[BackendServer], now: float) -> bool:
         """Whether one of some servers has stated its pace lately."""
         if not self._records:
             return False
@@ -171,14 +169,8 @@
         record.mean_load += weight * (in_use - record.mean_load)
         record.queue_waits[rank] = (load.queue_wait, now)
         if load.run_time > 0.0:
-            if len(record.run_times) >= MAX_KINDS:
-                record.run_times.clear()
-            if len(self._run_times) >= MAX_KINDS:
-                self._run_times.clear()
-            record.run_times[kind] = load.run_time
-            mean = self._run_times.get(kind, load.run_time)
-            mean += self._settings.run_weight * (load.run_time - mean)
-            self._run_times[kind] = mean
+            record.run_times.record(kind, load.run_time)
+            self._run_times.record(kind, load.run_time)
 
     def record_pace(self, server: ServerId, pace: float, stated_at: float) -> None:
         """Record a pace that another host has told."""
--- a/damaskramp/dispatch/selection.py
+++ b/damaskramp/dispatch/selection.py
@@ -16,111 +16,17 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
 
 from damaskramp.core.ids import ZoneName
 from damaskramp.dispatch.cold_hints import ColdHints
-from damaskramp.dispatch.expected_finish import (
-    FinishSelection,
-    FinishSettings,
-    QueueState,
-)
+from damaskramp.dispatch.expected_finish import FinishSelection, QueueState
 from damaskramp.dispatch.load import Load
 from damaskramp.dispatch.load_exchange import KnownLoad
+from damaskramp.dispatch.selection_settings import SelectionSettings
+from damaskramp.dispatch.server_record import ServerRecord
 from damaskramp.fleet.model import BackendServer, ServerId
 
-__all__ = ["SelectionSettings", "ServerSelector"]
-
-DEFAULT_SERVICE_SECONDS = 0.02
-"""Service time in seconds assumed for a server that has reported none; it is short, so
-that new servers receive requests soon."""
-
-
-@dataclass(frozen=True, slots=True)
-class SelectionSettings:
-    """Settings for leaving the availability zone and for avoiding servers.
-
-    Attributes
-    ----------
-    spill_load : float
-        Share of a server's slots in use from which servers of other zones are
-        considered. A queue begins to form soon above this load.
-    slow_factor : float
-        Largest expected time of a preferred server of the own zone, as a multiple of
-        the shortest among all servers.
-    tight_slow_factor : float
-        Largest expected time of a preferred server of the own zone, as a multiple of
-        the median, for requests with little time to spare. Similar servers differ in
-        speed by up to a factor of two, while sending a request to another zone adds
-        less than a tenth to its time.
-    load_decay_seconds : float
-        Time over which the weight of the reported load of other hosts falls from 1 to
-        0; load changes within about a service time.
-    refusal_seconds : float
-        Time for which a server that has refused a request is not asked again for
-        equally or less important requests; this is a few service times.
-    failure_weight : float
-        The expected time is multiplied by 1 + `failure_weight` * (share of failures).
-    cold_factor : float
-        Factor by which a server that has just started is assumed to be slower.
-    smoothing : float
-        Weight of the newest outcome in the moving average of failures.
-    finish : FinishSettings
-        Settings of the choice among servers that state their pace.
-    """
-
-    spill_load: float = 0.8
-    slow_factor: float = 4.0
-    tight_slow_factor: float = 1.5
-    load_decay_seconds: float = 1.0
-    refusal_seconds: float = 0.08
-    failure_weight: float = 20.0
-    cold_factor: float = 2.5
-    smoothing: float = 0.1
-    finish: FinishSettings = field(default_factory=FinishSettings)
-
-
-class _ServerRecord:
-    """State that this host keeps of one server.
-
-    `other_in_flight` is the number of other hosts' requests: the requests that the
-    server's node reported, less this host's own requests in flight at that time.
-    `rate_limit` is in requests a second, 0 without a limit; `rate_room_at` holds the
-    clock time in seconds at which the limit has room, by rank of the request.
-    `cold_until` is the clock time at which the limit of a cold server ends, and
-    `reported_start` the start of the server as listed when its node reported last.
-    """
-
-    __slots__ = (
-        "cold_until",
-        "ejected_until",
-        "failures",
-        "limit",
-        "other_in_flight",
-        "own_in_flight",
-        "rate_limit",
-        "rate_room_at",
-        "refused_rank",
-        "refusing_until",
-        "reported_at",
-        "reported_start",
-        "service_time",
-    )
-
-    def __init__(self, slots: int) -> None:
-        self.own_in_flight = 0
-        self.other_in_flight = 0
-        self.limit = slots
-        self.service_time = 0.0
-        self.reported_at = 0.0
-        self.failures = 0.0
-        self.refused_rank = 0
-        self.refusing_until = 0.0
-        self.ejected_until = 0.0
-        self.rate_limit = 0.0
-        self.rate_room_at: dict[int, float] = {}
-        self.cold_until = 0.0
-        self.reported_start: int | None = None
+__all__ = ["ServerSelector"]
 
 
 class ServerSelector:
@@ -148,7 +54,7 @@
         self._zone = zone
         self._random = random_source
         self._cold_hints = cold_hints
-        self._records: dict[ServerId, _ServerRecord] = {}
+        self._records: dict[ServerId, ServerRecord] = {}
         self._finish = FinishSelection(settings.finish, zone, random_source, round_trip)
 
     def choose(
@@ -178,22 +84,24 @@
             Seconds to the latency target of the request.
         """
         candidates = [
-            server
+            (server, record)
             for server in servers
             if not server.leaving
             and server.id not in excluded
-            and self._accepts_rank(server, rank, now)
+            and (record := self._record(server)).accepts(rank, now)
         ]
         if not candidates:
             return None
-        usable = [s for s in candidates if self._record(s).ejected_until <= now]
+        usable = [pair for pair in candidates if pair[1].ejected_until <= now]
         # If all candidates are ejected, they are used all the same: an ejected server
         # is better than none.
         usable = usable or candidates
-        unlimited = [s for s in usable if self._rate_wait(s, rank, now) <= 0.0]
-        if self._finish.is_informed(usable, now):
+        unlimited = [
+            pair for pair in usable if self._rate_wait(*pair, rank, now) <= 0.0
+        ]
+        if self._finish.is_informed((server for server, _ in usable), now):
             return self._finish.choose(
-                unlimited or usable,
+                [server for server, _ in unlimited or usable],
                 rank,
                 kind,
                 now,
@@ -201,21 +109,26 @@
                 bool(excluded),
                 to_target,
             )
+        settings = self._settings
         scored = [
-            (self._expected_time(s, now) + self._rate_wait(s, rank, now), s)
-            for s in unlimited or usable
+            (
+                record.expected_time(server, settings, now)
+                + self._rate_wait(server, record, rank, now),
+                server,
+                record,
+            )
+            for server, record in unlimited or usable
         ]
-        times = sorted(time for time, _ in scored)
-        settings = self._settings
+        times = sorted(time for time, _, _ in scored)
         max_time = settings.slow_factor * times[0]
         if tight:
             max_time = settings.tight_slow_factor * times[(len(times) - 1) // 2]
         nearby = [
-            (time, server)
-            for time, server in scored
-            if server.zone == self._zone
-            and self._load(server, now) < settings.spill_load
-            and time <= max_time
+            found
+            for found in scored
+            if found[1].zone == self._zone
+            and found[2].load(settings, now) < settings.spill_load
+            and found[0] <= max_time
         ]
         return self._pick_fastest(nearby or scored)
 
@@ -249,20 +162,7 @@
     ) -> None:
         """Record a server's load as its node reported it to a request of a rank."""
         self._finish.record(server, load, rank, kind, now)
-        record = self._record(server)
-        record.reported_start = server.started
-        record.cold_until = now + load.warmup_left if load.warmup_left else 0.0
-        record.rate_limit = load.rate_limit
-        if load.rate_limit:
-            record.rate_room_at[rank] = now + load.rate_wait
-        else:
-            record.rate_room_at.clear()
-        record.other_in_flight = max(
-            0, load.running + load.waiting - record.own_in_flight
-        )
-        record.limit = load.limit
-        record.service_time = load.service_time
-        record.reported_at = now
+        self._record(server).record_load(load, server.started, rank, now)
 
     def record_told_load(self, server: BackendServer, load: KnownLoad) -> None:
         """Record a load of a server that another host has told, if it is news."""
@@ -289,7 +189,7 @@
     def record_refusal(self, server: BackendServer, rank: int, now: float) -> None:
         """Record that a server without room has refused a request of a rank."""
         record = self._record(server)
-        if now >= record.refusing_until or rank < record.refused_rank:
+        if record.accepts(rank, now):
             record.refused_rank = rank
         record.refusing_until = now + self._settings.refusal_seconds
 
@@ -318,19 +218,16 @@
                 del self._records[name]
         self._finish.retain(known)
 
-    def _record(self, server: BackendServer) -> _ServerRecord:
+    def _record(self, server: BackendServer) -> ServerRecord:
         record = self._records.get(server.id)
         if record is None:
-            record = self._records[server.id] = _ServerRecord(server.slots)
+            record = self._records[server.id] = ServerRecord(server.slots)
         return record
 
-    def _accepts_rank(self, server: BackendServer, rank: int, now: float) -> bool:
-        record = self._record(server)
-        return now >= record.refusing_until or rank < record.refused_rank
-
-    def _rate_wait(self, server: BackendServer, rank: int, now: float) -> float:
+    def _rate_wait(
+        self, server: BackendServer, record: ServerRecord, rank: int, now: float
+    ) -> float:
         """Seconds until a server's own limit has room for a request of a rank."""
-        record = self._record(server)
         if not record.rate_limit:
             hints = self._cold_hints
             if hints is None or record.reported_start == server.started:
@@ -345,43 +242,14 @@
         hints = self._cold_hints
         return hints.warmup_left(server) if hints is not None else 0.0
 
-    def _in_flight(self, record: _ServerRecord, now: float) -> float:
-        age = (now - record.reported_at) / self._settings.load_decay_seconds
-        return record.own_in_flight + record.other_in_flight * max(0.0, 1.0 - age)
-
-    def _load(self, server: BackendServer, now: float) -> float:
-        record = self._record(server)
-        return self._in_flight(record, now) / max(1, record.limit)
-
     def _queue_state(self, server: BackendServer, rank: int, now: float) -> QueueState:
         record = self._record(server)
-        in_flight = self._in_flight(record, now)
-        limit = max(1, record.limit)
-        service_time = record.service_time or DEFAULT_SERVICE_SECONDS
-        penalty = 1.0 + self._settings.failure_weight * record.failures
-        if server.warmup > 0 and not record.reported_at:
-            penalty *= self._settings.cold_factor
-        return QueueState(
-            in_flight / limit,
-            service_time * max(0.0, in_flight + 1 - limit) / limit,
-            penalty,
-            self._rate_wait(server, rank, now),
-        )
-
-    def _expected_time(self, server: BackendServer, now: float) -> float:
-        record = self._record(server)
-        settings = self._settings
-        in_flight = self._in_flight(record, now)
-        queue = max(0.0, in_flight + 1 - record.limit) / max(1, record.limit)
-        load = in_flight / max(1, record.limit)
-        time = (record.service_time or DEFAULT_SERVICE_SECONDS) * (1.0 + queue + load)
-        time *= 1.0 + settings.failure_weight * record.failures
-        if server.warmup > 0 and not record.reported_at:
-            time *= settings.cold_factor
-        return time
-
-    def _pick_fastest(self, scored: list[tuple[float, BackendServer]]) -> BackendServer:
-        if len(scored) > 2:
-            scored = self._random.sample(scored, 2) if len(scored) > 4 else scored
-        best = min(scored, key=lambda pair: (pair[0], self._random.random()))
-        return best[1]
+        wait = self._rate_wait(server, record, rank, now)
+        return record.queue_state(server, self._settings, wait, now)
+
+    def _pick_fastest(
+        self, scored: list[tuple[float, BackendServer, ServerRecord]]
+    ) -> BackendServer:
+        if len(scored) > 4:
+            scored = self._random.sample(scored, 2)
+        return min(scored, key=lambda found: (found[0], self._random.random()))[1]
--- a/damaskramp/dispatch/tests/test_evacuated_load.py
+++ b/damaskramp/dispatch/tests/test_evacuated_load.py
@@ -6,7 +6,8 @@
 
 from benchmarks.placement_model import Chooser, ModelSettings, PlacementModel
 from damaskramp.dispatch import Eligibility, RegionSettings
-from damaskramp.dispatch.selection import SelectionSettings, ServerSelector
+from damaskramp.dispatch.selection import ServerSelector
+from damaskramp.dispatch.selection_settings import SelectionSettings
 from damaskramp.fleet import (
     Evacuations,
     EvacuationStatement,
