Watcher: a late answer of a poll changes no verdict on the newest configuration

The answer of a poll may come after a watch has brought something newer. Its older configuration was then taken for the newest listed one: the platform seemed to lag behind, and no proof counted until the next configuration, so keys stopped working. If the newer one was unreadable, the older one hid that, and a withdrawn key would have gone on working.

--- a/damaskramp/relay/tests/test_watcher.py
+++ b/damaskramp/relay/tests/test_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from damaskramp.core import Counters
 from damaskramp.core.timers import VirtualTimers
@@ -93,16 +94,13 @@
             raise SourceError("refused")
 
 
-class TestWatcher(LoopTestCase):
-    """A reader must keep its proof fresh, notice each change and make few calls.
-
-    A watch that goes silent loses changes. Many changes in succession cost many calls
-    if each starts a new watch. Live servers are lost if the deletion of descriptions
-    that expired during an outage of the platform is applied at once.
-    """
+class WatcherTestCase(LoopTestCase):
+    """Test case that runs a watcher on virtual time."""
 
     SETTINGS = WatcherSettings(poll_seconds=1.4, stale_seconds=1.75)
 
+    make_source = FakeSource
+
     async def consult_peers(self, seconds):
         pass
 
@@ -111,7 +109,7 @@
 
         async def run():
             self.timers = VirtualTimers()
-            self.source = FakeSource(self.timers)
+            self.source = self.make_source(self.timers)
             self.source.put("1")
             clock = lambda: self.timers.now  # noqa: E731
             self.fleet_view = FleetView(
@@ -154,6 +152,15 @@
     def names(self):
         return {server.id for server in self.fleet_view.directory.servers}
 
+
+class TestWatcher(WatcherTestCase):
+    """A reader must keep its proof fresh, notice each change and make few calls.
+
+    A watch that goes silent loses changes. Many changes in succession cost many calls
+    if each starts a new watch. Live servers are lost if the deletion of descriptions
+    that expired during an outage of the platform is applied at once.
+    """
+
     def test_proof_is_no_older_than_a_poll_while_the_watch_waits(self):
         ages = []
         record_age = (0.1, lambda: ages.append(self.fleet_view.freshness.age))
@@ -228,3 +235,80 @@
 
     def apply_deferred_removals(self):
         self.fleet_view.directory.apply_deferred()
+
+
+class SlowPollSource(FakeSource):
+    """Fake source that publishes configurations, and can hold the answer of a poll."""
+
+    def __init__(self, timers):
+        super().__init__(timers)
+        self.configuration = None
+        self.problem = ""
+        self.holds_polls = False
+        self.held = 0
+
+    def publish(self, version, problem=""):
+        self.revision += 1
+        self.problem = problem
+        self.configuration = None if problem else FleetConfiguration(version, (), ())
+
+    async def changes(self, position, seconds):
+        answer = await super().changes(position, seconds)
+        if answer.position > position:
+            answer = replace(
+                answer, configuration=self.configuration, problem=self.problem
+            )
+        if self.holds_polls and seconds == 0:
+            self.held += 1
+            while self.holds_polls:
+                await self._timers.sleep(STEP_SECONDS)
+        return answer
+
+
+class TestLateAnswers(WatcherTestCase):
+    """The answer of a poll may come after a watch has brought something newer.
+
+    The poll was answered between two configurations; the watch brought the later one.
+    """
+
+    make_source = SlowPollSource
+
+    def overtake(self, problem=""):
+        source = self.source
+
+        def hold():
+            source.holds_polls = True
+            source.silent_watches = True
+            source.publish(2)
+
+        def publish_later():
+            self.assertEqual(1, source.held)
+            source.silent_watches = False
+            source.publish(3, problem)
+
+        def release():
+            source.holds_polls = False
+
+        return hold, publish_later, release
+
+    def play_overtaken(self, problem, script):
+        steps = lambda n: lambda: self.overtake(problem)[n]()  # noqa: E731
+        self.play([(2.0, steps(0)), (1.9, steps(1)), (0.3, steps(2)), *script])
+
+    def test_a_late_answer_does_not_end_the_proofs(self):
+        """The platform seemed to lag behind until its next configuration.
+
+        Until then no key was honoured.
+        """
+        ages = []
+        later = (3.0, lambda: ages.append(self.fleet_view.freshness.age))
+        self.play_overtaken("", [later] * 3)
+        self.assertEqual(3, self.fleet_view.version)
+        self.assertLess(max(ages), 2.0)
+
+    def test_a_late_answer_does_not_hide_that_the_newest_is_unreadable(self):
+        """The unreadable configuration may have withdrawn a key."""
+        ages = []
+        later = (3.0, lambda: ages.append(self.fleet_view.freshness.age))
+        self.play_overtaken("not a document", [later] * 2)
+        self.assertGreater(min(ages), 3.0)
--- a/damaskramp/relay/watcher.py
+++ b/damaskramp/relay/watcher.py
@@ -15,16 +15,16 @@
 
 from damaskramp.core import Counters, TimerService
 from damaskramp.fleet import (
-    FleetConfiguration,
     FleetSource,
     RevisionExpiredError,
     SourceBusyError,
     SourceChanges,
     SourceError,
-    StorePosition,
 )
 from damaskramp.fleet.directory import REREGISTRATION_SECONDS
+from damaskramp.relay.fleet_updater import FleetUpdater
 from damaskramp.relay.fleet_view import FleetView
+from damaskramp.relay.platform_contact import PlatformContact
 
 __all__ = ["Watcher", "WatcherSettings"]
 
@@ -37,11 +37,6 @@
 succession, as when many servers start, cost each reader one call rather than one each.
 It is small against the two seconds that a change may take to arrive."""
 
-MIN_OUTAGE_SECONDS = 1.0
-"""Length of an outage of the platform, in seconds, after which descriptions of servers
-may have expired. It is their shortest lifetime without a heartbeat, less one interval
-between heartbeats and one interval between polls."""
-
 CONSULTATION_SECONDS = 0.3
 """Time, in seconds, for which a node that has just started waits for the answer of a
 running node, which may know more than a store that was restored from a copy."""
@@ -115,14 +110,10 @@
         self._timers = timers
         self._counters = counters
         self._random = random_source
-        self._position: StorePosition | None = None
+        self._updater = FleetUpdater(fleet_view, counters)
+        self._contact = PlatformContact()
         self._next_poll = float("-inf")
         self._watch: asyncio.Task[None] | None = None
-        self._reachable: bool | None = None
-        self._lost_at: float | None = None
-        self._unreadable = False
-        self._listed_version = 0
-        self._lags_behind = False
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -140,7 +131,11 @@
                 await self._timers.sleep(CHECK_INTERVAL_SECONDS)
                 continue
             asked_at = self._timers.now
-            work = self._read_snapshot if self._position is None else self._catch_up
+            work = (
+                self._read_snapshot
+                if self._updater.position is None
+                else self._catch_up
+            )
             if await self._read(work, asked_at):
                 pause = settings.min_backoff_seconds
                 self._next_poll = asked_at + self._poll_pause()
@@ -156,7 +151,7 @@
         return self._settings.poll_seconds * jitter_factor
 
     def _poll_is_due(self) -> bool:
-        if self._position is None:
+        if self._updater.position is None:
             return True
         if self._timers.now < self._next_poll:
             return False
@@ -173,11 +168,11 @@
             await work()
         except RevisionExpiredError:
             self._counters.add("source_history_lost")
-            if self._position is None:
+            if self._updater.position is None:
                 return False
-            self._position = None
+            self._updater.position = None
         except SourceError as error:
-            self._record_lost(asked_at, error)
+            self._contact.record_lost(asked_at, error)
             busy = isinstance(error, SourceBusyError)
             self._counters.add("source_errors", reason="busy" if busy else "failed")
             return False
@@ -185,23 +180,27 @@
             # An answer must not stop the reader, whatever its content.
             self._counters.add("source_errors", reason="unreadable")
             LOGGER.error("platform's answer unreadable", extra={"cause": repr(error)})
-            self._position = None
+            self._updater.position = None
             return False
-        self._record_reached()
+        self._contact.record_reached()
         return True
 
     async def _watch_changes(self) -> None:
         """Keep a watch open while this node reads the platform for its zone."""
         while True:
-            if self._position is None or not self._reachable or not self._is_reader():
+            if (
+                self._updater.position is None
+                or not self._contact.reachable
+                or not self._is_reader()
+            ):
                 await self._timers.sleep(CHECK_INTERVAL_SECONDS)
                 continue
-            before = self._position
+            before = self._updater.position
             work = self._read_changes(self._settings.watch_seconds)
             self._watch = asyncio.get_running_loop().create_task(work)
             try:
                 await self._watch
-                if self._position != before:
+                if self._updater.position != before:
                     await self._timers.sleep(UPDATE_PAUSE_SECONDS)
             except asyncio.CancelledError:
                 if asyncio.current_task().cancelling():
@@ -211,7 +210,7 @@
                 self._counters.add("source_errors", reason="watch_behind")
             except RevisionExpiredError:
                 self._counters.add("source_history_lost")
-                self._position = None
+                self._updater.position = None
             except Exception as error:
                 # The next poll shows whether the platform is lost.
                 self._counters.add("source_errors", reason="watch_broken")
@@ -221,30 +220,27 @@
 
     async def _catch_up(self) -> None:
         """Poll for changes; cancel a watch that should have returned them."""
-        before = self._position
+        before = self._updater.position
         watch = self._watch
         await self._read_changes(0.0)
-        if self._position != before and watch is not None and watch is self._watch:
+        if (
+            self._updater.position != before
+            and watch is not None
+            and watch is self._watch
+        ):
             watch.cancel()
 
     async def _read_snapshot(self) -> None:
-        fleet_view = self._fleet_view
+        fleet_view, updater = self._fleet_view, self._updater
         asked_at = fleet_view.freshness.now
         snapshot = await self._source.snapshot()
         self._defer_removals_after_outage()
-        self._follow_epoch(snapshot.position, asked_at)
         starts = fleet_view.configuration is None
-        fleet_view.directory.replace(snapshot.servers, snapshot.position)
-        if fleet_view.evacuations is not None and snapshot.evacuations is not None:
-            fleet_view.evacuations.apply_snapshot(
-                snapshot.evacuations, snapshot.position
-            )
-        self._listed_version = 0
-        self._adopt_configuration(snapshot.configuration, snapshot.problem)
+        updater.apply_snapshot(snapshot, asked_at)
         if starts and snapshot.configuration is not None:
             await self._consult_peers(CONSULTATION_SECONDS)
         if snapshot.configuration is not None:
-            self._confirm(asked_at)
+            updater.confirm(asked_at)
         LOGGER.info(
             "snapshot read",
             extra={
@@ -254,25 +250,15 @@
                 "epoch": snapshot.position.epoch,
             },
         )
-        self._position = snapshot.position
+        updater.position = snapshot.position
 
     async def _read_changes(self, seconds: float) -> None:
         """Read and apply changes; wait for them up to `seconds`."""
-        fleet_view = self._fleet_view
-        asked_at = fleet_view.freshness.now
-        changes = await self._source.changes(self._position, seconds)
+        asked_at = self._fleet_view.freshness.now
+        changes = await self._source.changes(self._updater.position, seconds)
         self._defer_removals_after_outage()
-        self._follow_epoch(changes.position, asked_at)
-        fleet_view.directory.merge(changes.servers, changes.removed, changes.position)
-        if fleet_view.evacuations is not None and changes.evacuations is not None:
-            fleet_view.evacuations.apply_changes(changes.evacuations, changes.position)
-        self._adopt_configuration(changes.configuration, changes.problem)
-        # A configuration that can't be read may have withdrawn a key.
-        if fleet_view.configuration is not None and not self._unreadable:
-            self._confirm(asked_at)
-        if self._position is None or changes.position <= self._position:
+        if not self._updater.apply_changes(changes, asked_at):
             return
-        self._position = changes.position
         if (
             changes.configuration is not None
             or changes.servers
@@ -289,92 +275,8 @@
                 extra={"server": removal.server, "revision": removal.revision},
             )
 
-    def _follow_epoch(self, position: StorePosition, asked_at: float) -> None:
-        """Record the epoch of an answer.
-
-        Raises
-        ------
-        RevisionExpiredError
-            If a peer has learned of another epoch since the answer was asked for.
-        """
-        fleet_view = self._fleet_view
-        followed = fleet_view.directory.position
-        if followed.epoch != position.epoch:
-            if not fleet_view.states_later_epoch(position.epoch, asked_at):
-                raise RevisionExpiredError(f"epoch {followed.epoch} is later")
-            if followed.revision:
-                self._record_restore(position, followed)
-        fleet_view.epoch_freshness.confirm(asked_at)
-
-    def _record_restore(self, position: StorePosition, before: StorePosition) -> None:
-        self._counters.add("source_restores")
-        LOGGER.info(
-            "platform's data restored",
-            extra={
-                "epoch": position.epoch,
-                "revision": position.revision,
-                "previous_epoch": before.epoch,
-                "previous_revision": before.revision,
-            },
-        )
-
-    def _confirm(self, asked_at: float) -> None:
-        """Take an answer as proof, unless the platform lags behind this node.
-
-        A platform that was restored from a copy lacks the newest configuration until it
-        is published again, and may lack one that no node has seen.
-        """
-        version = self._fleet_view.version
-        lags_behind = self._listed_version < version
-        if lags_behind and not self._lags_behind:
-            LOGGER.warning(
-                "platform lags behind",
-                extra={"version": version, "listed_version": self._listed_version},
-            )
-        self._lags_behind = lags_behind
-        if lags_behind:
-            self._counters.add("source_lagging_answers")
-        else:
-            self._fleet_view.freshness.confirm(asked_at)
-
     def _defer_removals_after_outage(self) -> None:
-        lost_at, self._lost_at = self._lost_at, None
-        if lost_at is not None and self._timers.now - lost_at > MIN_OUTAGE_SECONDS:
+        if self._contact.ends_outage(self._timers.now):
             self._fleet_view.directory.defer_removals(
                 self._timers.now + REREGISTRATION_SECONDS
             )
-
-    def _adopt_configuration(
-        self, configuration: FleetConfiguration | None, problem: str
-    ) -> None:
-        if problem:
-            self._unreadable = True
-            self._counters.add("configurations", reason="unreadable")
-            LOGGER.error("configuration can't be read", extra={"reason": problem})
-        elif configuration is not None:
-            self._unreadable = False
-            self._listed_version = configuration.version
-        if configuration is not None and self._fleet_view.adopt_configuration(
-            configuration
-        ):
-            self._counters.add("configurations", reason="platform")
-            LOGGER.info(
-                "configuration in force",
-                extra={
-                    "version": configuration.version,
-                    "routes": len(configuration.routes),
-                    "teams": len(configuration.teams),
-                },
-            )
-
-    def _record_reached(self) -> None:
-        if not self._reachable:
-            self._reachable = True
-            LOGGER.info("platform reached", extra={"cause": ""})
-
-    def _record_lost(self, asked_at: float, error: Exception) -> None:
-        if self._reachable:
-            self._lost_at = asked_at
-        if self._reachable is not False:
-            self._reachable = False
-            LOGGER.info("platform lost", extra={"cause": str(error)})
