Connections to the server: parsing of answers is an object of its own

Whether an answer is for the present request is determined once for each, not three times. A closed connection has no reference cycle with its reader, and an idle one keeps no request.

--- a/damaskramp/relay/server_connection.py
+++ b/damaskramp/relay/server_connection.py
@@ -14,27 +14,15 @@
 import httptools
 
 from damaskramp.http import discard_on_close
-from damaskramp.relay.answer_intake import AnswerIntake, append_chunk
+from damaskramp.relay.answer_intake import AnswerIntake
+from damaskramp.relay.answer_reader import AnswerReader
 from damaskramp.relay.messages import FRAGMENT_BYTES
-from damaskramp.relay.server_answer import Exchange, ExchangeFailure, ServerAnswer
+from damaskramp.relay.server_answer import Exchange, ExchangeFailure
 
 if TYPE_CHECKING:
     from damaskramp.relay.backend_connection import ServerConnections
 
-__all__ = ["OTHER_BYTES", "ServerConnection"]
-
-MAX_HEAD_BYTES = 64 * 1024
-"""Most bytes outside bodies for each request: heads, including those of informational
-answers, and trailers. Several times the largest head that callers may send."""
-
-MAX_FIELDS = 500
-"""Most header fields of an answer. A field of a few bytes takes 300 as an object."""
-
-MAX_CHUNK_OVERHEAD = 8
-"""Further bytes outside bodies for each byte of a body: chunks of one byte have 5."""
-
-OTHER_BYTES = 4 * 1024 * 1024
-"""Most bytes of bodies of skipped answers to earlier requests, for each request."""
+__all__ = ["ServerConnection"]
 
 
 class ServerConnection(asyncio.Protocol):
@@ -51,22 +39,16 @@
     def __init__(self, pool: "ServerConnections") -> None:
         self._pool = pool
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
-        self._request_id = b""
-        self._head_only = False
-        self._answer: ServerAnswer | None = None
-        self._intake: AnswerIntake | None = None
-        self._chunks: list[bytes] | None = None
-        self._received = 0
-        self._body_bytes = 0
-        self._other_bytes = 0
-        self._has_framing = False
-        self._echoed_id = b""
-        self._reusable = True
+        self._reader = AnswerReader(
+            pool.names,
+            pool.counters,
+            pool.memory_queue,
+            pool.update_idle_timeout,
+            self._advance,
+            self._taker_gone,
+        )
         self._is_handed_on = False
-        self._complete_answer: ServerAnswer | None = None
-        self._has_unsolicited = False
         self._is_paused = False
         self.idle_until = 0.0
         self.opened_at = 0.0
@@ -90,14 +72,8 @@
     ) -> None:
         """Send a request; its outcome goes to the exchange."""
         self._exchange = exchange
-        self._request_id = request_id
-        self._head_only = head_only
-        self._received = 0
-        self._body_bytes = 0
-        self._other_bytes = 0
         self._is_handed_on = False
-        # The answer to a request without an id can't be distinguished from a late one.
-        self._reusable = bool(request_id)
+        self._reader.begin(exchange.head_received, request_id, head_only)
         if len(body) <= FRAGMENT_BYTES:
             self._transport.write(head + body)
         else:
@@ -113,9 +89,7 @@
         if self._exchange is not None and self._transport is not None:
             discard_on_close(self._transport)
         self._exchange = None
-        self._complete_answer = None
-        self._reusable = False
-        self._discard_body()
+        self._discard(self._reader.stop())
         if self._transport is not None:
             self._transport.abort()
 
@@ -126,192 +100,41 @@
             self._pool.counters.add("backend_unasked_bytes")
             self.abandon()
             return
-        self._received += len(data)
+        reader = self._reader
+        reader.received += len(data)
         try:
-            self._parser.feed_data(data)
+            reader.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reusable = False
-            if self._complete_answer is None:
+            reader.reusable = False
+            if reader.complete_answer is None:
                 self._fail(ExchangeFailure.BROKEN)
                 return
-        if self._complete_answer is None and self._is_too_large():
+        if reader.complete_answer is None and reader.is_too_large:
             self._fail(ExchangeFailure.TOO_LARGE)
             return
         self._advance()
 
-    def _is_too_large(self) -> bool:
-        overhead = self._received - self._body_bytes
-        answer = self._answer
-        return (
-            (self._intake is not None and self._intake.is_too_large)
-            or (answer is not None and len(answer.headers) > MAX_FIELDS)
-            or overhead > MAX_HEAD_BYTES + MAX_CHUNK_OVERHEAD * self._body_bytes
-            or self._other_bytes > OTHER_BYTES
-        )
-
-    def _discard_body(self) -> None:
-        """Discard the body that is held, and release its memory.
-
-        A body that has been handed on belongs to its taker, who is told that the rest
-        will never come.
-        """
-        intake, self._intake = self._intake, None
-        self._chunks = None
-        if intake is None:
-            return
-        if self._is_handed_on:
-            intake.break_off()
-        else:
-            intake.close()
-
     def eof_received(self) -> bool:
         """Complete an answer without a length, which ends with its connection."""
-        answer = self._answer
-        if answer is not None and not self._has_framing and answer.status >= 200:
-            self._reusable = False
-            self.on_message_complete()
-            self._advance()
-            # The answer may wait for memory; the server's end is closed with it.
-            return self._complete_answer is not None
-        return False
+        if not self._reader.end_input():
+            return False
+        self._advance()
+        # The answer may wait for memory; the server's end is closed with it.
+        return self._reader.complete_answer is not None
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the open request, and release the body of its answer."""
         self._transport = None
         self._pool.lost(self)
-        if self._complete_answer is None:
+        if self._reader.complete_answer is None:
             self._fail(ExchangeFailure.RESET)
-        self._parser = None
-
-    def on_message_begin(self) -> None:
-        """Start an answer."""
-        if self._complete_answer is not None:
-            self._has_unsolicited = True
-            return
-        self._answer = ServerAnswer(0)
-        self._has_framing = False
-        self._echoed_id = b""
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field, and evaluate those that the relay uses."""
-        answer = self._answer
-        if self._has_unsolicited or answer is None or answer.status:
-            # Fields after the body (trailers) are not forwarded.
-            return
-        if len(answer.headers) > MAX_FIELDS:
-            # The answer fails once the parser returns.
-            return
-        lower = name.lower()
-        answer.headers.append((lower, name, value))
-        names = self._pool.names
-        if lower == names.request_id:
-            self._echoed_id = value
-        elif lower in (b"content-length", b"transfer-encoding"):
-            self._has_framing = True
-            if lower == b"content-length":
-                answer.length = value
-        elif lower == names.not_executed:
-            answer.not_executed = True
-        elif lower == names.signature:
-            answer.signed = True
-        elif lower == names.load:
-            answer.load = value
-        elif lower == names.rate_limit:
-            answer.limit_values.append(value)
-        elif lower == names.leaving:
-            answer.leaving_values.append(value)
-        elif lower == b"keep-alive":
-            self._pool.update_idle_timeout(value)
-
-    def on_headers_complete(self) -> None:
-        """Check whom the answer is for, and prepare to receive its body."""
-        if self._has_unsolicited:
-            return
-        answer = self._answer
-        answer.status = self._parser.get_status_code()
-        if answer.status in (204, 304):
-            self._has_framing = True
-        if answer.status < 200:
-            return
-        if self._exchange is not None and self._is_own_answer():
-            self._exchange.head_received(answer)
-        if self._head_only:
-            # The parser can't know that an answer to HEAD has no body.
-            self._reusable = False
-            self.on_message_complete()
-        elif self._is_own_answer() or self._is_rejection(answer):
-            self._open_intake(answer)
-
-    def _open_intake(self, answer: ServerAnswer) -> None:
-        length = int(answer.length) if answer.length.isdigit() else None
-        if answer.status in (204, 304):
-            length = 0
-        if length is not None and length <= FRAGMENT_BYTES:
-            # The server's slots bound the number of small bodies held here.
-            self._chunks = []
-            return
-        pool = self._pool
-        intake = AnswerIntake(pool.memory_queue, length, self._advance)
-        if intake.is_passed_on:
-            pool.counters.add("answers_passed_on")
-            intake.body.on_close = self._taker_gone
-        self._intake = intake
-
-    def on_body(self, data: bytes) -> None:
-        """Store a part of the body, or count that of a skipped answer."""
-        if self._has_unsolicited or self._complete_answer is not None:
-            return
-        self._body_bytes += len(data)
-        if self._chunks is not None:
-            append_chunk(self._chunks, data)
-        elif self._intake is not None:
-            self._intake.feed(data)
-        else:
-            self._other_bytes += len(data)
-
-    def on_message_complete(self) -> None:
-        """Complete the answer, if it is for the present request."""
-        answer = self._answer
-        if self._has_unsolicited or self._complete_answer is not None or answer is None:
-            return
-        if answer.status < 200:
-            return
-        self._answer = None
-        if not self._is_own_answer() and not self._is_rejection(answer):
-            # This answers an earlier request; the present one's answer may still come.
-            self._pool.counters.add("backend_other_answers")
-            self._reusable = False
-            return
-        if not self._head_only and not self._parser.should_keep_alive():
-            self._reusable = False
-        if self._chunks is not None:
-            answer.body = b"".join(self._chunks)
-            self._chunks = None
-        elif self._intake is not None:
-            if self._intake.is_too_large:
-                return
-            self._intake.finish()
-        self._complete_answer = answer
-
-    def _is_own_answer(self) -> bool:
-        """Return whether the answer echoes the id of the present request."""
-        return self._echoed_id == self._request_id
-
-    def _is_rejection(self, answer: ServerAnswer) -> bool:
-        """Return whether an answer without an id answers the present request.
-
-        A server may refuse a request before it has read the id. Such an answer can't be
-        a late copy of an earlier one, because its connection is never reused.
-        """
-        if self._echoed_id or not answer.not_executed:
-            return False
-        self._reusable = False
-        return True
+        self._reader.close()
 
     def _advance(self) -> None:
         """Hand on what is ready, and read further if there is memory for it."""
-        intake = self._intake
-        if self._complete_answer is not None:
+        reader = self._reader
+        intake = reader.intake
+        if reader.complete_answer is not None:
             if intake is None or intake.is_ready:
                 self._deliver()
             return
@@ -323,11 +146,13 @@
         """Hand on an answer whose body is still arriving."""
         if not self._is_handed_on:
             self._is_handed_on = True
-            self._answer.body = intake.body
-            self._exchange.answered(self._answer)
+            answer = self._reader.answer
+            answer.body = intake.body
+            self._exchange.answered(answer)
 
     def _update_reading(self) -> None:
-        may_read = self._intake is None or self._intake.may_read
+        intake = self._reader.intake
+        may_read = intake is None or intake.may_read
         if self._transport is None or may_read is not self._is_paused:
             return
         self._is_paused = not may_read
@@ -338,14 +163,15 @@
             self._transport.pause_reading()
 
     def _deliver(self) -> None:
-        answer, self._complete_answer = self._complete_answer, None
+        reader = self._reader
+        answer, reader.complete_answer = reader.complete_answer, None
         exchange, self._exchange = self._exchange, None
-        intake, self._intake = self._intake, None
+        intake, reader.intake = reader.intake, None
         if self._is_paused:
             self._update_reading()
         transport = self._transport
         unsent = transport is not None and transport.get_write_buffer_size() > 0
-        if self._has_unsolicited or not self._reusable or unsent:
+        if reader.has_unsolicited or not reader.reusable or unsent:
             # If a part of the request is unsent, the server would read the next
             # request on this connection in its place.
             self.abandon()
@@ -370,6 +196,19 @@
         if self._transport is not None:
             self.abandon()
         else:
-            self._discard_body()
+            self._discard(self._reader.drop_body())
         if exchange is not None:
             exchange.failed(failure)
+
+    def _discard(self, intake: AnswerIntake | None) -> None:
+        """Release the memory of a body.
+
+        A body that has been handed on belongs to its taker, who is told that the rest
+        will never come.
+        """
+        if intake is None:
+            return
+        if self._is_handed_on:
+            intake.break_off()
+        else:
+            intake.close()
