--- a/damaskramp/relay/fleet_view.py
+++ b/damaskramp/relay/fleet_view.py
@@ -71,7 +71,6 @@
         self._key_max_age = key_max_age
         board = Blackboard()
         self._configuration = board.create("configuration", None)
-        self._current: FleetConfiguration | None = None
         self._board = board
         self._routes = RouteTable(())
         self._keys: dict[bytes, KeyHolder] = {}
@@ -105,12 +104,13 @@
     @property
     def configuration(self) -> FleetConfiguration | None:
         """Newest known configuration; None if none is known."""
-        return self._current
+        return self._configuration.value
 
     @property
     def version(self) -> int:
         """Version of the configuration; 0 if none is known."""
-        return self._current.version if self._current is not None else 0
+        configuration = self._configuration.value
+        return configuration.version if configuration is not None else 0
 
     @property
     def routes(self) -> RouteTable:
@@ -236,6 +236,5 @@
             for holder in self._keys.values()
             if holder.team.home_regions
         }
-        self._current = configuration
         self._configuration.replace(configuration)
         return True
