Links and callers' connections: freed when they end, with small buffers

Each link also had an unpacker whose buffer of 128 KB is resident after 128 KB of messages and grows for good with a large read, and a packer of its own.

Change: cycles are broken when a connection ends. The first buffer of a link has 16 KB and is dropped after a larger message; one packer serves all links.

--- a/damaskramp/relay/body_transfer.py
+++ b/damaskramp/relay/body_transfer.py
@@ -43,7 +43,7 @@
     """
 
     def __init__(self, stream: MessageStream) -> None:
-        self._stream = stream
+        self._stream: MessageStream | None = stream
         self._bodies: dict[int, _Sending] = {}
         self._turns: deque[_Sending] = deque()
         self._under_way = 0
@@ -108,6 +108,8 @@
 
     def close(self) -> None:
         """Give up all bodies, as the link has ended."""
+        # Without this, each link that has ended stays until the collector runs.
+        self._stream = None
         bodies, self._bodies = self._bodies, {}
         self._turns.clear()
         for sending in bodies.values():
@@ -158,7 +160,7 @@
     """Receiver of the bodies of one link."""
 
     def __init__(self, stream: MessageStream) -> None:
-        self._stream = stream
+        self._stream: MessageStream | None = stream
         self._bodies: dict[int, ReceivedBody] = {}
         self._credits: dict[int, int] = {}
         self._received = 0
@@ -197,6 +199,7 @@
 
     def break_off(self) -> None:
         """Break off all incomplete bodies, as the link has ended."""
+        self._stream = None
         bodies, self._bodies = self._bodies, {}
         for body in bodies.values():
             body.break_off()
@@ -212,6 +215,8 @@
 
     def _send_grant(self) -> None:
         self._scheduled = False
+        if self._stream is None:
+            return
         credits = [part for pair in self._credits.items() for part in pair]
         received, self._received = self._received, 0
         self._credits.clear()
--- a/damaskramp/relay/caller_reader.py
+++ b/damaskramp/relay/caller_reader.py
@@ -162,8 +162,12 @@
         return request
 
     def close(self) -> None:
-        """Break the reference cycle with the parser."""
+        """Break the reference cycles with the parser and the connection.
+
+        The collector runs rarely, and closed connections would stay until then.
+        """
         self._parser = None
+        self._sink = None
 
     def on_message_begin(self) -> None:
         """Start a request."""
--- a/damaskramp/relay/incoming_answer.py
+++ b/damaskramp/relay/incoming_answer.py
@@ -51,7 +51,7 @@
         counters: Counters,
         on_ready: Callable[[int], None],
     ) -> None:
-        self._stream = stream
+        self._stream: MessageStream | None = stream
         self._memory = memory
         self._counters = counters
         self._on_ready = on_ready
@@ -115,6 +115,8 @@
         self._receiver.break_off()
         for answer in pending.values():
             answer.body.close()
+        self._stream = None
+        self._on_ready = _ignore
 
     def _hand_on(self, number: int) -> None:
         answer = self._pending.get(number)
@@ -127,3 +129,7 @@
     def _give_up(self, number: int) -> None:
         if self._receiver.close(number) is not None:
             self._stream.send((Kind.CANCEL, number))
+
+
+def _ignore(number: int) -> None:
+    """Ignore an answer that can't become ready, as its link has ended."""
--- a/damaskramp/relay/incoming_link.py
+++ b/damaskramp/relay/incoming_link.py
@@ -102,6 +102,7 @@
         if self._sender.unfinished:
             self._report_broken("link ended", self._sender.unfinished)
         self._sender.close()
+        self._receiver.break_off()
 
     def _drop_unsubmitted(self) -> None:
         for call in (*self._received_calls.values(), *self._uploads.values()):
--- a/damaskramp/relay/message_stream.py
+++ b/damaskramp/relay/message_stream.py
@@ -25,9 +25,10 @@
 """Largest message, in bytes. Bodies come in fragments; the largest messages are packed
 documents, whose values have 1 MB in the platform's store before compression."""
 
-BUFFER_BYTES = 128 * 1024
-"""First size of the buffer of a link, in bytes. It grows for larger messages. The
-unpacker's own default is 1 MB, which ended links keep until the collector runs."""
+BUFFER_BYTES = 16 * 1024
+"""First size of the buffer of a link, in bytes: some fifty calls or answers. Received
+bytes move through the whole buffer, so all of it is resident on each link after a
+while. It grows for larger messages and is dropped after them."""
 
 FREE_PARTIAL_BYTES = 80 * 1024
 """Unprocessed bytes that need no reservation: those of a fragment and more."""
@@ -44,20 +45,23 @@
 """Head of a fragment in msgpack: array of 3, kind, number as uint 32, bin 32."""
 
 
+_pack = msgpack.Packer().pack
+"""Packs a message for any link; each packer has a buffer as large as its messages."""
+
+
 class MessageStream(asyncio.Protocol):
     """Message stream that sends the messages of one loop iteration in one write."""
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._out: list[bytes | memoryview] = []
-        self._unpacker = msgpack.Unpacker(
-            read_size=BUFFER_BYTES, max_buffer_size=MAX_MESSAGE_BYTES
-        )
-        self._pack = msgpack.Packer().pack
+        self._unpacker: msgpack.Unpacker | None = _new_unpacker()
         self._is_held_back = False
         self._partial_memory: ByteBudget | None = None
         self._partial_reserved = 0
         self._fed = 0
+        self._pending = 0
+        self._has_grown = False
         self._written = 0
         self._mark_next = False
         self._marked = 0
@@ -75,6 +79,7 @@
             # The link has been dropped, and its last bytes were on their way.
             return
         self._fed += len(data)
+        self._has_grown |= self._pending + len(data) > BUFFER_BYTES
         try:
             self._unpacker.feed(data)
         except Exception as error:
@@ -106,11 +111,7 @@
         raise NotImplementedError
 
     def drop_input(self) -> None:
-        """Release what has arrived of a message that will never be complete.
-
-        A link is in reference cycles, which would keep the buffer until the garbage
-        collector runs.
-        """
+        """Release what has arrived of a message that will never be complete."""
         self._unpacker = None
         self._release_partial()
 
@@ -121,7 +122,10 @@
 
     def _reserve_partial(self) -> None:
         """Reserve memory for an incomplete message, or drop the link without room."""
-        pending = self._fed - self._unpacker.tell()
+        pending = self._pending = self._fed - self._unpacker.tell()
+        if self._has_grown and not pending:
+            self._unpacker, self._fed = _new_unpacker(), 0
+            self._has_grown = False
         needed = BUFFER_FACTOR * pending if pending > FREE_PARTIAL_BYTES else 0
         if needed == self._partial_reserved or self._partial_memory is None:
             return
@@ -138,7 +142,7 @@
         """Send a message together with the others of this loop iteration."""
         if not self._out and self._transport is not None:
             asyncio.get_running_loop().call_soon(self._flush)
-        self._out.append(self._pack(message))
+        self._out.append(_pack(message))
         if len(self._out) >= MAX_GATHERED:
             self._flush()
 
@@ -181,6 +185,10 @@
                 self._marked = self._written
 
 
+def _new_unpacker() -> msgpack.Unpacker:
+    return msgpack.Unpacker(read_size=BUFFER_BYTES, max_buffer_size=MAX_MESSAGE_BYTES)
+
+
 def set_user_timeout(transport: asyncio.Transport) -> None:
     """Set a kernel timeout for a connection whose data stays unacknowledged."""
     sock = transport.get_extra_info("socket")
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -283,6 +283,7 @@
         loans, self._loans = self._loans, {}
         unrun = {number for number in calls if self._sender.cancel(number)}
         self._answers.break_off()
+        self._sender.close()
         self._on_down(self._host, cause, len(calls), was_reset)
         for number, reply in calls.items():
             if sent and number not in unrun:
