Executor: runs, checks and deaths of the server in modules of their own

Change: server_run.py holds one run and its queue entry, call_checks.py the checks before a call runs, server_deaths.py the search for requests that crash the server; the executor names what its runs use in public.

--- a/tests/test_relay_uploads.py
+++ b/tests/test_relay_uploads.py
@@ -9,10 +9,10 @@
 import gc
 
 from damaskramp.relay.backend_connection import _Opening
-from damaskramp.relay.execution import _Run, _RunWork
 from damaskramp.relay.forwarded_request import ForwardedRequest
 from damaskramp.relay.messages import Call
 from damaskramp.relay.server_attempt import ServerAttempt
+from damaskramp.relay.server_run import Run, RunWork
 from tests.relay_fleet import (
     CLUBS,
     RelayTestCase,
@@ -190,8 +190,8 @@
     def test_bodies_are_freed_without_the_garbage_collector(self):
         """The collector runs rarely; hundreds of megabytes would stay until it runs."""
         checked_types = (
-            _Run,
-            _RunWork,
+            Run,
+            RunWork,
             _Opening,
             ForwardedRequest,
             ServerAttempt,
