--- a/damaskramp/dispatch/server_slots.py
+++ b/damaskramp/dispatch/server_slots.py
@@ -34,11 +34,18 @@
     def __init__(self, full_share: float, full_slowdown: float) -> None:
         self._full_share = full_share
         self._full_slowdown = full_slowdown
+        self._slots = -1
         self.limit = 1
         self.runs: set[Work] = set()
 
     def resize(self, slots: int) -> bool:
-        """Set the number of slots; return whether the limit has changed."""
+        """Set the number of slots; return whether the limit has changed.
+
+        A number of 0, which stands for an unknown one, changes nothing.
+        """
+        if slots == self._slots or not slots:
+            return False
+        self._slots = slots
         below_full = int(slots * self._full_share - 1e-9)
         # With few slots, a slot kept free costs more throughput than the slowdown of a
         # server whose slots are all in use.
--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -16,7 +16,6 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import replace
 from enum import Enum
 
 from damaskramp.dispatch.call_depths import UNKNOWN
@@ -101,6 +100,11 @@
         """Number of waiting requests."""
         return self._queues.waiting
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request waits, and the server can't limit the requests."""
+        return not self._queues.waiting and self.rate.is_unlimited
+
     @property
     def waiting_teams(self) -> int:
         """Number of teams that have a waiting request."""
@@ -115,7 +119,7 @@
             self._slots.limit,
             self._mean_service_time,
             self.depth,
-            self.rate.limit or 0.0,
+            self.rate.limit or 0,
         )
 
     def load_with_pace(
@@ -132,8 +136,8 @@
             self.expected_wait(is_call, priority) * max(1.0, pace.change(now)),
             self._slots.time_to_free(self.service_time, now),
         )
-        return replace(
-            self.load, pace=value, run_time=pace.run_time(kind), queue_wait=wait
+        return self.load._replace(
+            pace=value, run_time=pace.run_time(kind), queue_wait=wait
         )
 
     def release_waiting(self, now: float, change: float) -> list[Work]:
@@ -173,7 +177,7 @@
         return max(wait, self._settings.bad_outcome_retry_wait)
 
     def resize(self, slots: int) -> None:
-        """Set the number of slots of the server."""
+        """Set the number of slots of the server; 0 if it is not known."""
         if self._slots.resize(slots):
             self._bounds.reset(self._slots.limit)
 
--- a/damaskramp/dispatch/tests/test_server_record.py
+++ b/damaskramp/dispatch/tests/test_server_record.py
@@ -21,7 +21,7 @@
         self.record = ServerRecord(8)
 
     def report(self, now, **fields):
-        load = replace(Load(4, 2, 8, 0.1, 0), **fields)
+        load = Load(4, 2, 8, 0.1, 0)._replace(**fields)
         self.record.record_load(load, 0, 1, now)
 
     def test_requests_of_other_hosts_fade_and_own_ones_stay(self):
--- a/damaskramp/relay/answer_reader.py
+++ b/damaskramp/relay/answer_reader.py
@@ -183,9 +183,9 @@
         elif lower == names.load:
             answer.load = value
         elif lower == names.rate_limit:
-            answer.limit_values.append(value)
+            answer.limit_values += (value,)
         elif lower == names.leaving:
-            answer.leaving_values.append(value)
+            answer.leaving_values += (value,)
         elif lower == b"keep-alive":
             self._on_keep_alive(value)
 
--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -63,7 +63,7 @@
         self._read_buffer = read_buffer
         self._transport: asyncio.Transport | None = None
         self._charges = RequestCharges(context.memory)
-        self._starter = RequestStarter(context, self._charges, self)
+        self._starter = RequestStarter(context, self._charges)
         self._reader = RequestReader(context, self, self._charges)
         self._current: CallerRequest | None = None
         self._pipelined: deque[CallerRequest] = deque()
@@ -311,7 +311,7 @@
 
     def _begin(self, request: CallerRequest) -> None:
         self._current = request
-        self._starter.start(request)
+        self._starter.start(request, self)
 
     def _end_after_answer(self) -> None:
         """Close the connection after the current answer, or at once without one."""
--- a/damaskramp/relay/request_starter.py
+++ b/damaskramp/relay/request_starter.py
@@ -18,30 +18,28 @@
 
 
 class RequestStarter:
-    """Hands requests of one connection on, and answers those that can't run.
+    """Hands requests of one connection on, and answers those that can't run."""
 
-    Parameters
-    ----------
-    connection : ClientHolder
-        Connection that needs memory for the answers.
-    """
-
-    def __init__(
-        self, context: CallerContext, charges: RequestCharges, connection: ClientHolder
-    ) -> None:
+    def __init__(self, context: CallerContext, charges: RequestCharges) -> None:
         self._context = context
         self._charges = charges
-        self._connection = connection
 
-    def start(self, request: CallerRequest) -> None:
-        """Hand a request on, or answer it."""
+    def start(self, request: CallerRequest, connection: ClientHolder) -> None:
+        """Hand a request on, or answer it.
+
+        Parameters
+        ----------
+        connection : ClientHolder
+            Connection that needs memory for the answer. A reference to it that is kept
+            here would be a cycle, which keeps closed connections until the collector
+            runs.
+        """
         if request.error_status:
             request.reject(request.error_status)
             return
         context = self._context
         if not (
-            self._charges.reserve_run(request)
-            and context.memory.may_begin(self._connection)
+            self._charges.reserve_run(request) and context.memory.may_begin(connection)
         ):
             request.refuse(Reason.OVERLOADED, Outcome.NOT_RUN, ANSWERS_RETRY_SECONDS)
             return
--- a/damaskramp/relay/tests/test_caller_requests.py
+++ b/damaskramp/relay/tests/test_caller_requests.py
@@ -135,11 +135,11 @@
         )
         charges = RequestCharges(self.memory)
         charges.open("10.0.0.1")
-        self.starter = RequestStarter(self.context, charges, self.connection)
+        self.starter = RequestStarter(self.context, charges)
         self.request = CallerRequest(self.connection)
 
     def start(self):
-        self.starter.start(self.request)
+        self.starter.start(self.request, self.connection)
         return len(self.handled), self.connection.answers
 
     def test_a_request_is_handed_on(self):
