Deaths of servers: reports with their age, bounded in number

A lost zone with 2,000 running requests made answers of 83 KB. A host took the moment at which it heard of a death for that of the death. Hosts that had forgotten one learned of it again from those that forgot it later, so that a blocked request stayed blocked for ever.

An answer carries 128 deaths at most, those of requests with several deaths first, then the newest.

Conclusion: a death beyond the newest 128 a minute may reach other hosts later.

--- a/benchmarks/fleet_background.py
+++ b/benchmarks/fleet_background.py
@@ -29,7 +29,7 @@
 import orjson
 
 from damaskramp.core import Counters, ServiceName
-from damaskramp.dispatch import Load
+from damaskramp.dispatch import Death, Load
 from damaskramp.fleet import BackendServer, ServerId, SourceChanges
 from damaskramp.fleet.model import Epoch, Removal, Revision, StorePosition
 from damaskramp.platform import PLATFORM_HEADERS, READINESS_PATH, MetadataStore
@@ -238,6 +238,18 @@
         ping = await self._ping_bytes()
         return lambda: self.incoming[0].data_received(ping)
 
+    async def prepare_answer_deaths(self):
+        """An answer after a day on which 2,000 requests were running as servers died.
+
+        As many more have died a moment ago, as when a zone loses its servers.
+        """
+        ping = await self._ping_bytes()
+        suspects = self.view.suspects
+        suspects.record_deaths((Death(n, f"i-{n}/1") for n in range(2000)), 0.0)
+        recent = (Death(n, f"i-{n}/1") for n in range(10_000, 12_000))
+        suspects.record_deaths(recent, self.clock.now)
+        return lambda: self.incoming[0].data_received(ping)
+
     async def prepare_pong(self):
         self.incoming[0].data_received(await self._ping_bytes())
         await asyncio.sleep(0)
@@ -448,6 +460,7 @@
     "pong taken": ("prepare_pong", 5, 200),
     "answer to a peer behind": ("prepare_answer_news", 0, 100),
     "answer to a new peer": ("prepare_answer_whole", 0, 5),
+    "answer after many deaths": ("prepare_answer_deaths", 0, 20),
     "change of a server": ("prepare_change", 0, 30),
     "removal and return": ("prepare_removal", 0, 30),
     "host joins or is gone": ("prepare_host", 0, 20),
--- a/damaskramp/dispatch/tests/test_decisions.py
+++ b/damaskramp/dispatch/tests/test_decisions.py
@@ -18,6 +18,7 @@
     Suspects,
     SuspectSettings,
 )
+from damaskramp.dispatch.suspects import MAX_REPORTED_DEATHS
 from damaskramp.fleet import BackendServer
 
 
@@ -300,6 +301,32 @@
         self.assertTrue(suspects.is_blocked(7, 1.1))
         self.assertFalse(suspects.is_blocked(7, 61.5))
 
+    def test_hosts_do_not_remind_each_other_of_a_death_without_end(self):
+        """Each forgets it at another moment, and was told of it again by the others."""
+        hosts = [Suspects(SuspectSettings()) for _ in range(3)]
+        hosts[0].record_deaths([Death(7, "i-1/0"), Death(7, "i-2/0")], 0.0)
+        blocked = []
+        for step in range(1, 400):
+            now = 0.4 * step
+            told, asked = hosts[step % 3], hosts[(step + 1) % 3]
+            told.record_deaths(asked.recent_deaths(now), now)
+            # Each host is asked, as the question is what makes it forget.
+            count = sum(one.is_blocked(7, now) for one in hosts)
+            blocked.append((now, count > 0))
+        self.assertTrue(all(is_blocked for now, is_blocked in blocked if now < 59.0))
+        self.assertFalse(any(is_blocked for now, is_blocked in blocked if now > 63.0))
+
+    def test_reports_of_many_deaths_are_bounded(self):
+        """All requests on the servers of a lost zone are suspects."""
+        suspects = Suspects(SuspectSettings())
+        suspects.record_deaths([Death(7, "i-1/0"), Death(7, "i-2/0")], 0.0)
+        suspects.record_deaths([Death(n, "i-3/0") for n in range(100, 5000)], 1.0)
+        reported = suspects.recent_deaths(2.0)
+        self.assertEqual(MAX_REPORTED_DEATHS, len(reported))
+        self.assertEqual(2, sum(death.fingerprint == 7 for death in reported))
+        self.assertEqual([], suspects.recent_deaths(62.0))
+        self.assertEqual({}, suspects._deaths)
+
     def test_answered_requests_are_not_suspects(self):
         """A common request runs on most dying servers without being the cause."""
         suspects = Suspects(SuspectSettings())
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -338,7 +338,7 @@
             _packed_age(fleet_view.epoch_freshness),
             update.position.revision if fits else 0,
             update.is_whole and fits,
-            [(death.fingerprint, death.server) for death in deaths],
+            [(death.fingerprint, death.server, death.age) for death in deaths],
             self.leaving,
             pack_evacuations(fleet_view.evacuations),
             self.load_sharing.pong_fields(loads) if self.load_sharing else [],
