Hosts: compute the list again only when a host joins, moves or leaves

Cause: each change of the state of any server computed and sorted the list anew, to find it unchanged.

Change: the directory notes whether a change concerns the hosts.

--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -100,7 +100,7 @@
         self._generation = 0
         self._outdated = 0
         self._hosts: list[tuple[str, ZoneName]] = []
-        self._hosts_generation = -1
+        self._hosts_outdated = True
         self._hosts_until = float("-inf")
 
     @property
@@ -250,7 +250,7 @@
         follows from the list is computed once for each of its changes.
         """
         now = self._clock()
-        if self._hosts_generation == self._generation and now <= self._hosts_until:
+        if not self._hosts_outdated and now <= self._hosts_until:
             return self._hosts
         found = {server.host: server.zone for server in self._servers.values()}
         self._hosts_until = float("inf")
@@ -261,7 +261,7 @@
             else:
                 found[host] = zone
                 self._hosts_until = min(self._hosts_until, retained_until)
-        self._hosts_generation = self._generation
+        self._hosts_outdated = False
         hosts = sorted(found.items())
         if hosts != self._hosts:
             self._hosts = hosts
@@ -376,8 +376,10 @@
             return False
         self._forget_removal(server.id)
         self._overridden.pop(server.id, None)
-        if known is not None and known.address != server.address:
-            self._hosts_left[known.host] = (self._clock(), known.zone)
+        if known is None or (known.host, known.zone) != (server.host, server.zone):
+            self._hosts_outdated = True
+            if known is not None:
+                self._hosts_left[known.host] = (self._clock(), known.zone)
         self._servers[server.id] = server
         self._received_at[server.id] = self._clock()
         return True
@@ -413,6 +415,7 @@
         if known.epoch == self.epoch and removal.epoch != self.epoch:
             self._overridden[name] = (known, self._clock())
         self._hosts_left[known.host] = (self._clock(), known.zone)
+        self._hosts_outdated = True
         del self._servers[name]
         self._received_at.pop(name, None)
         return True
@@ -426,6 +429,7 @@
             del self._overridden[server.id]
             self._forget_removal(server.id)
             self._servers[server.id] = server
+            self._hosts_outdated = True
         if restored:
             self._rebuild()
         return bool(restored)
--- a/damaskramp/fleet/tests/test_directory.py
+++ b/damaskramp/fleet/tests/test_directory.py
@@ -13,6 +13,7 @@
     Removal,
     StorePosition,
 )
+from damaskramp.fleet.directory import HOST_RETENTION_SECONDS
 
 
 def server(name, revision, leaving=False, address="10.0.0.1:80", started=0):
@@ -116,6 +117,32 @@
         clock.now = 70.0
         self.assertIs(hosts, directory.hosts())
 
+    def test_cached_hosts_agree_with_the_servers_through_all_changes(self):
+        for seed in range(40):
+            source = random.Random(seed)
+            clock = Clock()
+            directory = Directory(clock)
+            left = {}
+            for revision in range(1, 120):
+                clock.now += source.choice((0.125, 1.0, 6.0))
+                before = {one.host for one in directory.servers}
+                name = f"i{source.randrange(6)}"
+                if source.random() < 0.6:
+                    host = f"10.0.0.{source.randrange(6)}"
+                    directory.merge([server(name, revision, address=f"{host}:80")])
+                else:
+                    directory.merge([], [Removal(name, revision)])
+                listed = {one.host for one in directory.servers}
+                left |= dict.fromkeys(before - listed, clock.now)
+                retained = {
+                    host
+                    for host, left_at in left.items()
+                    if clock.now - left_at <= HOST_RETENTION_SECONDS
+                }
+                if source.random() < 0.7:
+                    got = [host for host, _ in directory.hosts()]
+                    self.assertEqual(sorted(listed | retained), got)
+
     def test_host_is_retained_after_its_server_moves(self):
         clock = Clock()
         directory = Directory(clock)
