relay_idle: measure another checkout, and end when a process has ended

Its own nodes could not be compared with earlier ones.

Change: run with PYTHONPATH it measures the nodes of another checkout, and it ends with an error if a process has no result.

--- a/benchmarks/relay_idle.py
+++ b/benchmarks/relay_idle.py
@@ -1,7 +1,9 @@
 """Cost of an idle relay node by fleet size.
 
 Run with ``python -m benchmarks.relay_idle [--sizes 12,48,200]
-[--evacuation-seconds 5]``; with the latter, nodes read evacuations. Several processes
+[--evacuation-seconds 5]``; with the latter, nodes read evacuations. Run as
+``PYTHONPATH=DIRECTORY python benchmarks/relay_idle.py``, it measures the nodes of
+another checkout, also of one that knows no evacuations. Several processes
 run the nodes, each node at its own loopback address; the stand-in of the store runs in
 this process. For each size, the benchmark prints the processor time of a node as a
 fraction of a core, the bytes per second that it sends to other nodes, the calls of all
@@ -81,10 +83,11 @@
         counters = Counters()
         nodes = []
         for n in numbers:
-            settings = replace(
-                _settings(n, size, store), evacuation_seconds=evacuation_seconds
-            )
-            source = MetadataStore(store, counters, evacuation_seconds is not None)
+            settings = _settings(n, size, store)
+            source = MetadataStore(store, counters)
+            if evacuation_seconds is not None:
+                settings = replace(settings, evacuation_seconds=evacuation_seconds)
+                source = MetadataStore(store, counters, True)
             nodes.append(
                 RelayNode(settings, source, PLATFORM_HEADERS, READINESS_PATH, counters)
             )
@@ -135,8 +138,10 @@
         pipes.append(here)
         processes.append(process)
     found = []
-    for pipe in pipes:
+    for pipe, process in zip(pipes, processes, strict=True):
         while not pipe.poll():
+            if not process.is_alive() and not pipe.poll():
+                raise SystemExit("a process of nodes has ended without a result")
             await asyncio.sleep(0.1)
         found.append(pipe.recv())
     for process in processes:
