Links: a first buffer of 16 KiB

Cause: the buffer of a link is filled from its begin to its end before it is used again, so each busy link comes to hold all of it, however small its messages.

Change: 16 KiB in place of 128.

The 44 KB of an unpacker for each link are left; one for all links that hold no incomplete message would spare them.

--- a/damaskramp/relay/message_stream.py
+++ b/damaskramp/relay/message_stream.py
@@ -25,9 +25,10 @@
 """Largest message, in bytes. Bodies come in fragments; the largest messages are packed
 documents, whose values have 1 MB in the platform's store before compression."""
 
-BUFFER_BYTES = 128 * 1024
-"""First size of the buffer of a link, in bytes. It grows for larger messages. The
-unpacker's own default is 1 MB, which ended links keep until the collector runs."""
+BUFFER_BYTES = 16 * 1024
+"""First size of the buffer of a link, in bytes. It grows for larger messages. A link
+touches all of it with time, also if its messages are small, and a node has some hundred
+links. The unpacker's own default is 1 MB."""
 
 FREE_PARTIAL_BYTES = 80 * 1024
 """Unprocessed bytes that need no reservation: those of a fragment and more."""
