--- a/damaskramp/relay/incoming_link.py
+++ b/damaskramp/relay/incoming_link.py
@@ -181,6 +181,17 @@
 
     def check_bodies(self, now: float) -> None:
         """Drop uploads that nobody waits for, and answers that are not taken."""
+        # Most links carry no bodies, and all of them are checked ten times a second.
+        if self._uploads:
+            self._drop_overdue(now)
+        sent, since = self._last_progress
+        if not self._sender.unfinished or self._sender.sent_bytes != sent:
+            self._last_progress = (self._sender.sent_bytes, now)
+        elif now - since > BODY_STALL_SECONDS:
+            LOGGER.info("answers not taken", extra={"seconds": round(now - since, 1)})
+            self._sender.break_off()
+
+    def _drop_overdue(self, now: float) -> None:
         overdue = [n for n, one in self._uploads.items() if now > one.expires_at]
         for number in overdue:
             upload = self._uploads.pop(number)
@@ -190,12 +201,6 @@
             load = self._service.executor.load_for(upload.call)
             reply = _RemoteReply(self, number)
             reply.refused(Reason.DEADLINE_EXCEEDED, 0.0, False, load)
-        sent, since = self._last_progress
-        if not self._sender.unfinished or self._sender.sent_bytes != sent:
-            self._last_progress = (self._sender.sent_bytes, now)
-        elif now - since > BODY_STALL_SECONDS:
-            LOGGER.info("answers not taken", extra={"seconds": round(now - since, 1)})
-            self._sender.break_off()
 
     def abort(self) -> None:
         """Abort the link."""
