--- a/damaskramp/fleet/directory.py
+++ b/damaskramp/fleet/directory.py
@@ -218,7 +218,7 @@
         The same list object is returned until a host or its zone changes, so that what
         follows from the list is computed once for each of its changes.
         """
-        return self._hosts.hosts(self._listed.by_id.values(), self._generation)
+        return self._hosts.hosts(self._listed.by_id.values())
 
     def merge(
         self,
@@ -329,8 +329,7 @@
             return False
         self._removals.forget(server.id)
         self._overridden.pop(server.id, None)
-        if known is not None and known.address != server.address:
-            self._hosts.record_left(known)
+        self._hosts.record_listed(server, known)
         self._listed.add(server, self._clock())
         return True
 
@@ -369,6 +368,7 @@
         for server, since in restored:
             del self._overridden[server.id]
             self._removals.forget(server.id)
+            self._hosts.record_listed(server, None)
             self._listed.add(server, since)
         if restored:
             self._rebuild()
--- a/damaskramp/fleet/host_list.py
+++ b/damaskramp/fleet/host_list.py
@@ -26,39 +26,43 @@
         self._clock = clock
         self._left: dict[str, tuple[float, ZoneName]] = {}
         self._hosts: list[tuple[str, ZoneName]] = []
-        self._cached_generation = -1
-        self._cached_until = float("-inf")
+        self._is_outdated = True
+        self._valid_until = float("-inf")
 
-    def hosts(
-        self, servers: Iterable[BackendServer], generation: int
-    ) -> list[tuple[str, ZoneName]]:
+    def hosts(self, servers: Iterable[BackendServer]) -> list[tuple[str, ZoneName]]:
         """Hosts with their zones; the same list object until one of them changes.
 
         Parameters
         ----------
         servers : iterable of BackendServer
-            Servers that are listed now.
-        generation : int
-            Number that grows with each change of the servers.
+            Servers that are listed now, all changes of which have been recorded.
         """
         now = self._clock()
-        if generation == self._cached_generation and now <= self._cached_until:
+        if not self._is_outdated and now <= self._valid_until:
             return self._hosts
         found = {server.host: server.zone for server in servers}
-        self._cached_until = float("inf")
+        self._valid_until = float("inf")
         for host, (left_at, zone) in list(self._left.items()):
             retained_until = left_at + HOST_RETENTION_SECONDS
             if host in found or now > retained_until:
                 del self._left[host]
             else:
                 found[host] = zone
-                self._cached_until = min(self._cached_until, retained_until)
-        self._cached_generation = generation
+                self._valid_until = min(self._valid_until, retained_until)
+        self._is_outdated = False
         hosts = sorted(found.items())
         if hosts != self._hosts:
             self._hosts = hosts
         return self._hosts
 
+    def record_listed(self, server: BackendServer, known: BackendServer | None) -> None:
+        """Record that a server is listed, with its description until now if any."""
+        if known is None:
+            self._is_outdated = True
+        elif (known.host, known.zone) != (server.host, server.zone):
+            self.record_left(known)
+
     def record_left(self, server: BackendServer) -> None:
         """Record that a server has been listed on its host until now."""
         self._left[server.host] = (self._clock(), server.zone)
+        self._is_outdated = True
--- a/damaskramp/fleet/tests/test_directory_parts.py
+++ b/damaskramp/fleet/tests/test_directory_parts.py
@@ -45,20 +45,27 @@
         self.hosts = HostList(self.clock)
 
     def test_a_host_counts_for_a_while_after_its_server_was_listed(self):
-        self.assertEqual([("10.0.0.1", "a")], self.hosts.hosts([_server("x")], 1))
+        self.assertEqual([("10.0.0.1", "a")], self.hosts.hosts([_server("x")]))
         self.hosts.record_left(_server("x"))
         self.clock.now += HOST_RETENTION_SECONDS - 1.0
-        self.assertEqual([("10.0.0.1", "a")], self.hosts.hosts([], 2))
+        self.assertEqual([("10.0.0.1", "a")], self.hosts.hosts([]))
         self.clock.now += 2.0
-        self.assertEqual([], self.hosts.hosts([], 2))
+        self.assertEqual([], self.hosts.hosts([]))
 
     def test_the_same_list_is_returned_until_a_change(self):
         """The readers of a zone are computed anew for each new list."""
-        first = self.hosts.hosts([_server("x")], 1)
-        self.assertIs(first, self.hosts.hosts([_server("x")], 1))
-        self.assertIs(first, self.hosts.hosts([_server("x", revision=2)], 2))
-        changed = self.hosts.hosts([_server("x"), _server("y", "10.0.0.2")], 3)
+        first = self.hosts.hosts([_server("x")])
+        self.assertIs(first, self.hosts.hosts([_server("x")]))
+        later = _server("x", revision=2)
+        self.hosts.record_listed(later, _server("x"))
+        self.assertIs(first, self.hosts.hosts([later]))
+        other = _server("y", "10.0.0.2")
+        self.hosts.record_listed(other, None)
+        changed = self.hosts.hosts([later, other])
         self.assertEqual([("10.0.0.1", "a"), ("10.0.0.2", "a")], changed)
+        moved = _server("y", "10.0.0.3")
+        self.hosts.record_listed(moved, other)
+        self.assertEqual(3, len(self.hosts.hosts([later, moved])))
 
 
 class TestRemovals(TestCase):
--- a/damaskramp/relay/message_stream.py
+++ b/damaskramp/relay/message_stream.py
@@ -28,7 +28,8 @@
 BUFFER_BYTES = 16 * 1024
 """First size of the buffer of a link, in bytes: some fifty calls or answers. Received
 bytes move through the whole buffer, so all of it is resident on each link after a
-while. It grows for larger messages and is dropped after them."""
+while, and a node has some hundred links. It grows for larger messages and is dropped
+after them. The unpacker's own default is 1 MB."""
 
 FREE_PARTIAL_BYTES = 80 * 1024
 """Unprocessed bytes that need no reservation: those of a fragment and more."""
