--- a/damaskramp/dispatch/expected_finish.py
+++ b/damaskramp/dispatch/expected_finish.py
@@ -128,6 +128,11 @@
         Availability zone of this host.
     round_trip : callable
         Returns the seconds of the way to a zone and back; 0 if not known.
+
+    Attributes
+    ----------
+    has_records : bool
+        Whether a server has stated its pace; read for every request.
     """
 
     def __init__(
@@ -143,11 +148,10 @@
         self._round_trip = round_trip
         self._records: dict[ServerId, _CapabilityRecord] = {}
         self._run_times = KindTimes(settings.run_weight)
+        self.has_records = False
 
     def is_informed(self, servers: Iterable[BackendServer], now: float) -> bool:
         """Whether one of some servers has stated its pace lately."""
-        if not self._records:
-            return False
         oldest = now - self._settings.fade_seconds
         return any(
             record is not None and record.pace > 0.0 and record.stated_at > oldest
@@ -162,7 +166,7 @@
             return
         record = self._records.get(server.id)
         if record is None:
-            record = self._records[server.id] = _CapabilityRecord()
+            record = self._add_record(server.id)
         record.pace, record.stated_at = load.pace, now
         in_use = (load.running + load.waiting) / max(1, load.limit)
         weight = self._settings.load_weight
@@ -176,7 +180,7 @@
         """Record a pace that another host has told."""
         record = self._records.get(server)
         if record is None:
-            record = self._records[server] = _CapabilityRecord()
+            record = self._add_record(server)
         if stated_at > record.stated_at:
             record.pace, record.stated_at = pace, stated_at
 
@@ -184,6 +188,7 @@
         """Drop the records of other servers."""
         for name in [name for name in self._records if name not in known]:
             del self._records[name]
+        self.has_records = bool(self._records)
 
     def choose(
         self,
@@ -222,6 +227,11 @@
         least_gain += settings.target_share * max(0.0, to_target)
         return best_far[1] if gain > least_gain else best_near[1]
 
+    def _add_record(self, server: ServerId) -> _CapabilityRecord:
+        record = self._records[server] = _CapabilityRecord()
+        self.has_records = True
+        return record
+
     def _best(
         self,
         servers: Sequence[BackendServer],
--- a/damaskramp/dispatch/selection.py
+++ b/damaskramp/dispatch/selection.py
@@ -99,8 +99,9 @@
         unlimited = [
             pair for pair in usable if self._rate_wait(*pair, rank, now) <= 0.0
         ]
-        if self._finish.is_informed((server for server, _ in usable), now):
-            return self._finish.choose(
+        finish = self._finish
+        if finish.has_records and finish.is_informed([s for s, _ in usable], now):
+            return finish.choose(
                 [server for server, _ in unlimited or usable],
                 rank,
                 kind,
--- a/damaskramp/dispatch/server_record.py
+++ b/damaskramp/dispatch/server_record.py
@@ -80,6 +80,8 @@
         time = (self.service_time or DEFAULT_SERVICE_SECONDS) * (
             1.0 + queue + in_flight / limit
         )
+        if not self.failures and not server.warmup:
+            return time
         return time * self._penalty(server, settings)
 
     def queue_state(
@@ -126,6 +128,8 @@
         self.reported_at = now
 
     def _in_flight(self, settings: SelectionSettings, now: float) -> float:
+        if not self.other_in_flight:
+            return self.own_in_flight
         age = (now - self.reported_at) / settings.load_decay_seconds
         return self.own_in_flight + self.other_in_flight * max(0.0, 1.0 - age)
 
--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -109,10 +109,11 @@
     @property
     def load(self) -> Load:
         """Current load of the server."""
+        slots = self._slots
         return Load(
-            len(self._slots.runs),
+            len(slots.runs),
             self._queues.waiting,
-            self._slots.limit,
+            slots.limit,
             self._mean_service_time,
             self.depth,
             self.rate.limit or 0.0,
@@ -215,7 +216,8 @@
             and not queues.waiting
             and self.rate.may_start(work.is_call, work.priority)
         ):
-            self._bounds.change_held(work, 1)
+            if not work.is_call:
+                self._bounds.change_held(work, 1)
             self._start(work, now)
             return QueueDecision.RUN
         if queues.waiting >= self._settings.max_waiting_per_slot * slots.limit:
@@ -257,7 +259,8 @@
             bounds, rank = self._bounds, work.priority
             held = bounds.held.get(rank, 0)
             bounds.of(rank, now).record_end(not good or slow, held, now)
-        self._bounds.change_held(work, -1)
+        if not work.is_call:
+            self._bounds.change_held(work, -1)
         if good is not None:
             took = now - work.started
             self._service_times.record(work.kind, took)
