Relay node: a start that fails holds no address

Cause: if one of its addresses was in use, the listeners before it stayed open, and a later start in the same process failed as well. Change: these are closed. Measured: test_node fails before ("Address already in use") and passes now; 623 passed in the run of relay, dispatch, fleet and tests/test_relay*.py.

--- a/damaskramp/relay/node.py
+++ b/damaskramp/relay/node.py
@@ -85,18 +85,16 @@
         OSError
             If an address can't be used.
         """
-        settings, pages = self._settings, self._pages
-        peers = settings.bind_peers or settings.peers
-        await self._listen(peers, self._parts.link_gate.connect)
-        await self._listen(settings.readiness, pages.readiness_server.connect)
-        await self._listen(settings.metrics, pages.metrics_server.connect)
-        self._caller_server = await self._listen(
-            settings.callers, self._listener.connect
-        )
+        try:
+            await self._listen_to_all()
+        except OSError:
+            for server in self._servers:
+                server.close()
+            raise
         self._fleet_view.subscribe_configuration(self._on_configuration)
         self._spawn(self._parts.watcher.run())
         self._periodic_work.start()
-        LOGGER.info("node started", extra={"host": settings.host})
+        LOGGER.info("node started", extra={"host": self._settings.host})
 
     async def stop(self) -> bool:
         """Stop without breaking off a request; return whether that was possible."""
@@ -137,6 +135,16 @@
         self._parts.retry_budget.reconfigure(retry_budget_settings(kept))
         LOGGER.info("settings read again", extra={"host": kept.host})
 
+    async def _listen_to_all(self) -> None:
+        settings, pages = self._settings, self._pages
+        peers = settings.bind_peers or settings.peers
+        await self._listen(peers, self._parts.link_gate.connect)
+        await self._listen(settings.readiness, pages.readiness_server.connect)
+        await self._listen(settings.metrics, pages.metrics_server.connect)
+        self._caller_server = await self._listen(
+            settings.callers, self._listener.connect
+        )
+
     async def _listen(
         self, address: str, protocol: Callable[[], asyncio.Protocol]
     ) -> asyncio.Server:
