--- a/damaskramp/dispatch/selection.py
+++ b/damaskramp/dispatch/selection.py
@@ -83,7 +83,7 @@
         to_target : float
             Seconds to the latency target of the request.
         """
-        records, hints = self._records, self._cold_hints
+        records, hints, finish = self._records, self._cold_hints, self._finish
         candidates = []
         for server in servers:
             if server.leaving or server.id in excluded:
@@ -97,7 +97,9 @@
         # If all candidates are ejected, they are used all the same: an ejected server
         # is better than none.
         usable = [c for c in candidates if c[1].ejected_until <= now] or candidates
-        is_informed = self._finish.is_informed((one for one, _ in usable), now)
+        is_informed = finish.has_records and finish.is_informed(
+            [server for server, _ in usable], now
+        )
         waits = None
         if hints is not None or any(record.rate_limit for _, record in usable):
             waits = [self._rate_wait(*pair, rank, now) for pair in usable]
@@ -107,7 +109,7 @@
             if unlimited:
                 usable, waits = unlimited, None
         if is_informed:
-            return self._finish.choose(
+            return finish.choose(
                 [server for server, _ in usable],
                 rank,
                 kind,
--- a/damaskramp/dispatch/server_record.py
+++ b/damaskramp/dispatch/server_record.py
@@ -69,9 +69,11 @@
 
     def in_flight(self, settings: SelectionSettings, now: float) -> float:
         """Expected number of requests of all hosts in flight."""
+        if not self.other_in_flight:
+            return self.own_in_flight
         age = (now - self.reported_at) / settings.load_decay_seconds
         if age >= 1.0:
-            return self.own_in_flight + 0.0
+            return self.own_in_flight
         return self.own_in_flight + self.other_in_flight * (1.0 - age)
 
     def expected_time(
