Server connections that are refused need no garbage collector

Cause: uvloop makes the protocol of a connection before it connects, and the parser of a server's connection refers back to it. Of each attempt that a stopped server refuses, the connection, its parser and five methods stayed until the collector runs.

Change: the parser is made when the connection is open.

Measured with gc.DEBUG_SAVEALL over ten refused requests: 7 containers for each before, none after; also none for wrong keys, callers that leave, timeouts, rejected, cut and large answers, uploads that are given up, links that are reset in answers, dead peers, readiness and metrics.

Tests: test_connections_that_the_server_refuses fails before; damaskramp/relay and tests/test_relay_{answers,endless_answers,requests}.py: 97 passed.

--- a/damaskramp/relay/server_connection.py
+++ b/damaskramp/relay/server_connection.py
@@ -51,7 +51,7 @@
     def __init__(self, pool: "ServerConnections") -> None:
         self._pool = pool
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = None
         self._exchange: Exchange | None = None
         self._request_id = b""
         self._head_only = False
@@ -77,8 +77,13 @@
         return self._transport is not None and not self._transport.is_closing()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Store the transport."""
+        """Store the transport and begin to parse.
+
+        The parser refers to the connection. If one was made for a connection that is
+        refused, both would stay until the garbage collector runs.
+        """
         self._transport = transport
+        self._parser = httptools.HttpResponseParser(self)
 
     def send(
         self,
--- a/tests/test_relay_ended_connections.py
+++ b/tests/test_relay_ended_connections.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import gc
+import weakref
 from collections import Counter
+from unittest import mock
 
 from damaskramp.relay.caller_connection import CallerConnection
 from damaskramp.relay.caller_reader import RequestReader
 from damaskramp.relay.incoming_link import IncomingLink
 from damaskramp.relay.peer_link import PeerLink
+from damaskramp.relay.server_connection import ServerConnection
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, route
 
 FAR = configuration(1, [route("far", "/")], CLUBS)
@@ -52,6 +55,15 @@
 
         self.assertEqual({}, self.count_after(scenario))
 
+    def test_connections_that_the_server_refuses(self):
+        """uvloop makes the protocol of a connection before it is refused."""
+        gc.disable()
+        try:
+            connection = weakref.ref(ServerConnection(mock.Mock()))
+            self.assertIsNone(connection())
+        finally:
+            gc.enable()
+
     def test_links(self):
         async def scenario(fleet):
             for _ in range(ENDS):
