--- a/damaskramp/relay/server_connection.py
+++ b/damaskramp/relay/server_connection.py
@@ -40,14 +40,7 @@
         self._pool = pool
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
-        self._reader = AnswerReader(
-            pool.names,
-            pool.counters,
-            pool.memory_queue,
-            pool.update_idle_timeout,
-            self._advance,
-            self._taker_gone,
-        )
+        self._reader: AnswerReader | None = None
         self._is_handed_on = False
         self._is_paused = False
         self.idle_until = 0.0
@@ -59,8 +52,21 @@
         return self._transport is not None and not self._transport.is_closing()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Store the transport."""
+        """Store the transport and begin to parse.
+
+        The reader refers to the connection. If one was made for a connection that is
+        refused, both would stay until the garbage collector runs.
+        """
         self._transport = transport
+        pool = self._pool
+        self._reader = AnswerReader(
+            pool.names,
+            pool.counters,
+            pool.memory_queue,
+            pool.update_idle_timeout,
+            self._advance,
+            self._taker_gone,
+        )
 
     def send(
         self,
