--- a/benchmarks/fleet_background.py
+++ b/benchmarks/fleet_background.py
@@ -14,7 +14,9 @@
 import argparse
 import asyncio
 import base64
+import importlib
 import json
+import operator
 import os
 import random
 import subprocess
@@ -29,11 +31,10 @@
 import orjson
 
 from damaskramp.core import Counters, ServiceName
-from damaskramp.dispatch import Load
+from damaskramp.dispatch import Death, Load
 from damaskramp.fleet import BackendServer, ServerId, SourceChanges
 from damaskramp.fleet.model import Epoch, Removal, Revision, StorePosition
 from damaskramp.platform import PLATFORM_HEADERS, READINESS_PATH, MetadataStore
-from damaskramp.relay import node as node_module
 from damaskramp.relay import peer_link
 from damaskramp.relay.messages import Kind
 from damaskramp.relay.node import RelayNode
@@ -85,6 +86,47 @@
         pass
 
 
+def _first(root, *paths):
+    """Attribute at the first of the dotted paths that this checkout has."""
+    for path in paths:
+        try:
+            return operator.attrgetter(path)(root)
+        except AttributeError:
+            continue
+    raise AttributeError(paths[0])
+
+
+def _replace_time(clock):
+    """Replace the clock of a node in the module that assembles its parts."""
+    try:
+        module = importlib.import_module("damaskramp.relay.node_parts")
+    except ModuleNotFoundError:
+        module = importlib.import_module("damaskramp.relay.node")
+    module.time = SimpleNamespace(monotonic=clock)
+
+
+class _Links:
+    """Links of a node to its peers, under the names that this checkout has."""
+
+    def __init__(self, peers):
+        self._owner = getattr(peers, "links", peers)
+        self._open = _first(peers, "links._open", "_open_link")
+        self.retry_at = _first(peers, "links._retry_at", "_retry_at")
+        self.unreachable = _first(peers, "hosts.unreachable", "_unreachable")
+
+    @property
+    def by_host(self):
+        return _first(self._owner, "by_host", "_links")
+
+    def open(self, host):
+        return self._open(host)
+
+    def replace(self, find):
+        """Let a function find the link to a host."""
+        name = "get" if hasattr(self._owner, "get") else "_link"
+        setattr(self._owner, name, find)
+
+
 def _address(n):
     return f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}"
 
@@ -145,7 +187,7 @@
     def __init__(self, hosts, most_links=MAX_GOSSIP_LINKS):
         self.hosts = hosts
         self.clock = _Clock()
-        node_module.time = SimpleNamespace(monotonic=self.clock)
+        _replace_time(self.clock)
         peer_link.PeerLink.open = lambda link: None
         own = _address(0)
         settings = RelaySettings(
@@ -166,6 +208,7 @@
         )
         self.view = self.node._fleet_view
         self.peers = self.node._peers
+        self.peer_links = _Links(self.peers)
         self.position = StorePosition(EPOCH, Revision(10 + hosts))
         self.servers = [_server(n, hosts) for n in range(hosts)]
         self.view.adopt_configuration(self.source.decode(_document(1)))
@@ -173,7 +216,7 @@
         self.view.freshness.confirm(self.view.freshness.now)
         self.revision = self.position.revision
         count = min(hosts - 1, most_links)
-        self.links = [self.peers._open_link(_address(n + 1)) for n in range(count)]
+        self.links = [self.peer_links.open(_address(n + 1)) for n in range(count)]
         for link in self.links:
             link.connection_made(_Transport())
             link.last_used_at = 1e18
@@ -187,10 +230,11 @@
 
     def gossip(self):
         self.advance(GOSSIP_SECONDS)
-        self.node._gossip()
+        self._gossip()
 
     def prepare_gossip(self):
-        self.peers._link = lambda host: self._random.choice(self.links)
+        self.peer_links.replace(lambda host: self._random.choice(self.links))
+        self._gossip = _first(self.node, "_periodic_work._gossip", "_gossip")
         return self.gossip
 
     def prepare_check_links(self):
@@ -217,7 +261,7 @@
         return run
 
     def prepare_sweep(self):
-        sweep = getattr(self.node, "_sweep", self.node._listener.sweep)
+        sweep = _first(self.node, "_periodic_work._sweep", "_sweep", "_listener.sweep")
 
         def run():
             self.advance(SWEEP_SECONDS)
@@ -238,6 +282,18 @@
         ping = await self._ping_bytes()
         return lambda: self.incoming[0].data_received(ping)
 
+    async def prepare_answer_deaths(self):
+        """An answer after a day on which 2,000 requests were running as servers died.
+
+        As many more have died a moment ago, as when a zone loses its servers.
+        """
+        ping = await self._ping_bytes()
+        suspects = self.view.suspects
+        suspects.record_deaths((Death(n, f"i-{n}/1") for n in range(2000)), 0.0)
+        recent = (Death(n, f"i-{n}/1") for n in range(10_000, 12_000))
+        suspects.record_deaths(recent, self.clock.now)
+        return lambda: self.incoming[0].data_received(ping)
+
     async def prepare_pong(self):
         self.incoming[0].data_received(await self._ping_bytes())
         await asyncio.sleep(0)
@@ -271,13 +327,14 @@
 
     def prepare_change(self):
         """A change of a server, with what the next round and request compute anew."""
+        permits = _first(self.node, "_parts.permits", "_permits")
 
         def run():
             self.advance(0.15)
             self._change()
             self.view.directory.hosts()
             _ = self.view.readers, self.view.own_server
-            self.node._permits._update()
+            permits._update()
 
         return run
 
@@ -297,6 +354,7 @@
 
     def prepare_host(self):
         """A host that joins or has left, with what the next request computes anew."""
+        permits = _first(self.node, "_parts.permits", "_permits")
         extra = [replace(s, id=f"x-{s.id}") for s in self.servers[:1]]
         extra = [replace(s, address=f"{_address(1 << 20)}:8105") for s in extra]
 
@@ -311,18 +369,18 @@
             self.advance(30.0)
             self.view.directory.hosts()
             _ = self.view.readers, self.view.own_server
-            self.node._permits._update()
+            permits._update()
 
         return run
 
     def prepare_broadcast(self):
         changes = self._change()
-        self.peers._link = lambda host: self._random.choice(self.links)
+        self.peer_links.replace(lambda host: self._random.choice(self.links))
         return lambda: self.peers.broadcast_changes(changes)
 
     async def prepare_update(self):
         changes = self._change()
-        self.peers._link = lambda host: self.links[0]
+        self.peer_links.replace(lambda host: self.links[0])
         self.peers.broadcast_changes(changes)
         await asyncio.sleep(0)
         update = self.links[0]._transport.written
@@ -376,9 +434,7 @@
         return run
 
     def prepare_metrics(self):
-        metrics = getattr(self.node, "_metrics", None)
-        if metrics is None:
-            raise AttributeError
+        metrics = _first(self.node, "_pages.metrics", "_metrics")
 
         def run():
             self.advance(1.0)
@@ -387,7 +443,7 @@
         return run
 
     def prepare_status(self):
-        return self.node._status
+        return _first(self.node, "_pages.status", "_status")
 
     def prepare_reconnect(self):
         """A link that is lost by a reset and opened again."""
@@ -395,19 +451,19 @@
 
         def run():
             self.advance(1.0)
-            current = self.peers._links[link.host]
+            current = self.peer_links.by_host[link.host]
             current.connection_lost(None)
-            self.peers._links[link.host].connection_made(_Transport())
+            self.peer_links.by_host[link.host].connection_made(_Transport())
 
         return run
 
     def prepare_unreachable(self):
         """A check of links while an eighth of the hosts is out of reach."""
         lost = [_address(n) for n in range(1, self.hosts, 8)]
-        self.peers._unreachable.update(lost)
-        self.peers._retry_at.update(dict.fromkeys(lost, 1e18))
+        self.peer_links.unreachable.update(lost)
+        self.peer_links.retry_at.update(dict.fromkeys(lost, 1e18))
         for host in lost:
-            self.peers._links.pop(host, None)
+            self.peer_links.by_host.pop(host, None)
 
         def run():
             self.advance(CHECK_SECONDS)
@@ -417,7 +473,8 @@
 
     def prepare_choice(self, count, paced=False, away=False):
         servers = [_server(n, self.hosts, service="many") for n in range(count)]
-        directory, selector = self.view.directory, self.node._selector
+        directory = self.view.directory
+        selector = _first(self.node, "_parts.selector", "_selector")
         position = StorePosition(EPOCH, Revision(self.revision + 1))
         servers = [replace(s, revision=position.revision) for s in servers]
         directory.merge(servers, (), position)
@@ -429,7 +486,7 @@
         for server in servers:
             selector.record_load(server, load, now)
         if away:
-            self.peers._unreachable.add(_address(10_000))
+            self.peer_links.unreachable.add(_address(10_000))
 
         def run():
             selector.choose(self.peers.usable(servers), (), 1, now + 0.1)
@@ -448,6 +505,7 @@
     "pong taken": ("prepare_pong", 5, 200),
     "answer to a peer behind": ("prepare_answer_news", 0, 100),
     "answer to a new peer": ("prepare_answer_whole", 0, 5),
+    "answer after many deaths": ("prepare_answer_deaths", 0, 20),
     "change of a server": ("prepare_change", 0, 30),
     "removal and return": ("prepare_removal", 0, 30),
     "host joins or is gone": ("prepare_host", 0, 20),
--- a/damaskramp/relay/fleet_view.py
+++ b/damaskramp/relay/fleet_view.py
@@ -113,7 +113,8 @@
     @property
     def version(self) -> int:
         """Version of the configuration; 0 if none is known."""
-        return self.configuration.version if self.configuration else 0
+        configuration = self._configuration.value
+        return configuration.version if configuration is not None else 0
 
     @property
     def routes(self) -> RouteTable:
--- a/damaskramp/relay/incoming_link.py
+++ b/damaskramp/relay/incoming_link.py
@@ -30,6 +30,12 @@
 """Unsent bytes of answers, from which no more requests of the other node are read."""
 
 
+SHORT_LOAD = 5
+"""Number of fields of a load that are sent even if they have their defaults."""
+
+REST_OF_SHORT_LOAD = Load(0, 0, 0, 0.0)[SHORT_LOAD:]
+
+
 class IncomingLink(MessageStream):
     """Link opened by another node."""
 
@@ -96,6 +102,7 @@
         if self._sender.unfinished:
             self._report_broken("link ended", self._sender.unfinished)
         self._sender.close()
+        self._receiver.break_off()
 
     def _drop_unsubmitted(self) -> None:
         for call in (*self._received_calls.values(), *self._uploads.values()):
@@ -181,6 +188,17 @@
 
     def check_bodies(self, now: float) -> None:
         """Drop uploads that nobody waits for, and answers that are not taken."""
+        # Most links carry no bodies, and all of them are checked ten times a second.
+        if self._uploads:
+            self._drop_overdue(now)
+        sent, since = self._last_progress
+        if not self._sender.unfinished or self._sender.sent_bytes != sent:
+            self._last_progress = (self._sender.sent_bytes, now)
+        elif now - since > BODY_STALL_SECONDS:
+            LOGGER.info("answers not taken", extra={"seconds": round(now - since, 1)})
+            self._sender.break_off()
+
+    def _drop_overdue(self, now: float) -> None:
         overdue = [n for n, one in self._uploads.items() if now > one.expires_at]
         for number in overdue:
             upload = self._uploads.pop(number)
@@ -190,12 +208,6 @@
             load = self._service.executor.load_for(upload.call)
             reply = _RemoteReply(self, number)
             reply.refused(Reason.DEADLINE_EXCEEDED, 0.0, False, load)
-        sent, since = self._last_progress
-        if not self._sender.unfinished or self._sender.sent_bytes != sent:
-            self._last_progress = (self._sender.sent_bytes, now)
-        elif now - since > BODY_STALL_SECONDS:
-            LOGGER.info("answers not taken", extra={"seconds": round(now - since, 1)})
-            self._sender.break_off()
 
     def abort(self) -> None:
         """Abort the link."""
@@ -270,17 +282,7 @@
 
 
 def _load_fields(load: Load) -> tuple:
-    return (
-        load.running,
-        load.waiting,
-        load.limit,
-        load.service_time,
-        load.depth,
-        load.rate_limit or 0,
-        load.rate_wait or 0,
-        load.leaving,
-        load.warmup_left or 0,
-        load.pressure,
-        # Servers that state no pace add nothing.
-        *((load.pace, load.run_time or 0, load.queue_wait or 0) if load.pace else ()),
-    )
+    """Fields of a load without those at the end that have their defaults."""
+    if load[SHORT_LOAD:] == REST_OF_SHORT_LOAD:
+        return load[:SHORT_LOAD]
+    return load
--- a/damaskramp/relay/periodic_work.py
+++ b/damaskramp/relay/periodic_work.py
@@ -82,7 +82,7 @@
         self._forgot_generation, self._forgot_at = directory.generation, now
         known = {server.id for server in directory.servers}
         parts.selector.retain(known)
-        parts.peers.load_sharing.retain(known)
+        parts.peers.exchange.load_sharing.retain(known)
 
     def _sweep(self) -> None:
         parts = self._parts
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -9,7 +9,7 @@
 from damaskramp.relay.link_gate import SILENT_SECONDS
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.peer_link import LinkState, PeerLink
-from damaskramp.relay.peers import PROBES_PER_CHECK
+from damaskramp.relay.peer_links import PROBES_PER_CHECK
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, ok, route
 
 
@@ -92,7 +92,7 @@
     def test_updates_stay_in_the_zone_and_are_compressed(self):
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
-            packed = peers._packed(fleet.nodes[0]._fleet_view.configuration)
+            packed = peers.exchange.packed(fleet.nodes[0]._fleet_view.configuration)
             document = fleet.nodes[0]._fleet_view.configuration.document
             return (
                 peers._broadcast_targets(),
@@ -176,11 +176,15 @@
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
             await fleet.ask("/a")
-            link = peers._links[fleet.host(1)]
+            link = peers.links.by_host[fleet.host(1)]
             link.last_used_at -= 60.0
             peers.gossip()
-            fresh = peers._links.get(fleet.host(1))
-            return fresh is link, set(peers._unreachable), (await fleet.ask("/a"))[0]
+            fresh = peers.links.by_host.get(fleet.host(1))
+            return (
+                fresh is link,
+                set(peers.hosts.unreachable),
+                (await fleet.ask("/a"))[0],
+            )
 
         config = configuration(1, [route("far", "/")], CLUBS)
         got = self.run_scenario(scenario, ("svc", "far"), config)
@@ -192,7 +196,9 @@
             await asyncio.sleep(0.3)
             fleet.nodes[1]._links.abort()
             await asyncio.sleep(0.05)
-            return (await fleet.ask("/a"))[0], set(fleet.nodes[0]._peers._unreachable)
+            return (await fleet.ask("/a"))[0], set(
+                fleet.nodes[0]._peers.hosts.unreachable
+            )
 
         config = configuration(1, [route("far", "/")], CLUBS)
         got = self.run_scenario(scenario, ("svc", "far"), config)
@@ -210,16 +216,16 @@
             gossip = node._periodic_work._timers[0]
             gossip.cancel()
             if loses_host:
-                peers._links.pop(host).close()
-                peers._unreachable.add(host)
-                await fleet.until(lambda: not peers._unreachable)
+                peers.links.by_host.pop(host).close()
+                peers.hosts.unreachable.add(host)
+                await fleet.until(lambda: not peers.hosts.unreachable)
             else:
                 fleet.nodes[1]._links.abort()
                 await asyncio.sleep(0.05)
-            link = peers._links[host]
+            link = peers.links.by_host[host]
             await asyncio.sleep(SILENT_SECONDS + 1.0)
             shed = fleet.nodes[1]._counters.values.get(("shed", "links"), 0)
-            return peers._links.get(host) is link, shed
+            return peers.links.by_host.get(host) is link, shed
 
         config = configuration(1, [route("far", "/")], CLUBS)
         for loses_host in (False, True):
@@ -237,15 +243,15 @@
                 lambda reader, writer: accepted.append(writer), fleet.host(2), 0
             )
             port = server.sockets[0].getsockname()[1]
-            host, known = fleet.host(2), peers._port
-            peers._port = port
-            peers._unreachable.add(host)
-            peers._introduced.add(host)
+            host, known = fleet.host(2), peers.links._port
+            peers.links._port = port
+            peers.hosts.unreachable.add(host)
+            peers.hosts.introduced.add(host)
             await fleet.until(lambda: accepted)
-            peers._port = known
+            peers.links._port = known
             await asyncio.sleep(0.3)
             server.close()
-            return host in peers._unreachable
+            return host in peers.hosts.unreachable
 
         self.assertTrue(self.run_scenario(scenario, ("svc", "far")))
 
@@ -257,16 +263,16 @@
             network = fleet.host(0).rpartition(".")[0]
             lost = {f"{network}.{n}" for n in range(100, 140)}
             tried = []
-            peers._open_link = lambda host: tried.append(host) or Mock()
-            peers._unreachable.update(lost)
+            peers.links._open = lambda host: tried.append(host) or Mock()
+            peers.hosts.unreachable.update(lost)
             counts = []
             for n in range(5):
                 before = len(tried)
                 peers.check_links()
                 counts.append(len(tried) - before)
                 for host in tried[before:]:
-                    peers._retry_at[host] = peers._clock() + n
-            peers._unreachable.clear()
+                    peers.links._retry_at[host] = peers.links._clock() + n
+            peers.hosts.unreachable.clear()
             return counts, set(tried) == lost
 
         got = self.run_scenario(scenario, ("svc", "far"))
@@ -279,11 +285,11 @@
             for node in fleet.nodes:
                 for timer in node._periodic_work._timers:
                     timer.cancel()
-            peers._links.pop(host).close()
-            peers._unreachable.add(host)
-            peers._retry_at[host] = peers._clock() + 60.0
+            peers.links.by_host.pop(host).close()
+            peers.hosts.unreachable.add(host)
+            peers.links._retry_at[host] = peers.links._clock() + 60.0
             fleet.nodes[1]._peers.gossip()
-            await fleet.until(lambda: not peers._unreachable)
+            await fleet.until(lambda: not peers.hosts.unreachable)
 
         config = configuration(1, [route("far", "/")], CLUBS)
         self.run_scenario(scenario, ("svc", "far"), config)
@@ -291,8 +297,8 @@
     def test_call_on_a_link_that_never_opened_is_not_run(self):
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
-            await fleet.until(lambda: fleet.host(1) in peers._links)
-            link = peers._links[fleet.host(1)]
+            await fleet.until(lambda: fleet.host(1) in peers.links.by_host)
+            link = peers.links.by_host[fleet.host(1)]
             await fleet.until(lambda: link.state is LinkState.UP)
             # This link opens no connection, as if its opening packet were lost.
             lost = PeerLink(
@@ -304,7 +310,7 @@
                 lambda *fields: None,
                 lambda *fields: None,
             )
-            peers._links[fleet.host(1)] = lost
+            peers.links.by_host[fleet.host(1)] = lost
             got = await fleet.ask("/a", method="POST", extra="X-Timeout-Ms: 200\r\n")
             lost.open()
             await fleet.until(lambda: lost.state is LinkState.UP)
