Gossip: draw the peers of the rounds from a view of 32 hosts

Cause: with peers drawn from all hosts, nearly each round opened a link, which was kept for 30 s: 77 links in each direction and 2.6 new ones a second at 1,400 hosts, each with 47 KB of memory at both ends and a check ten times a second.

Change: relay.gossip_view holds 32 hosts, replaces one in a tenth of the rounds, and drops those that are out of reach. Fleets of up to 33 hosts are as before.

--- a/benchmarks/fleet_background.py
+++ b/benchmarks/fleet_background.py
@@ -42,7 +42,11 @@
 HOSTS_PER_SERVICE = 15
 MAX_ZONES = 8
 MAX_GOSSIP_LINKS = 75
-"""Links that gossip keeps open: 2.5 random peers a second, each kept for 30 s."""
+"""Links in each direction with which the activities run. Gossip alone keeps as many if
+it asks 2.5 peers a second that are drawn from all hosts, and calls keep others."""
+
+SETTLE_ROUNDS, COUNTED_ROUNDS = 250, 500
+"""Rounds of gossip before its links are counted, and while they are."""
 
 EPOCH = Epoch(1)
 GOSSIP_SECONDS, CHECK_SECONDS, EXECUTOR_SECONDS, SWEEP_SECONDS = 0.4, 0.1, 0.05, 0.5
@@ -478,6 +482,28 @@
 event), and the runs of one turn."""
 
 
+def _count_links(hosts):
+    """Run rounds of gossip; return the mean number of links, and those opened."""
+    bench = _Bench(hosts, 0)
+    opened, kept = 0, 0
+    open_link = bench.peers._open_link
+
+    def count(host):
+        nonlocal opened
+        opened += 1
+        link = open_link(host)
+        link.connection_made(_Transport())
+        return link
+
+    bench.peers._open_link = count
+    for number in range(SETTLE_ROUNDS + COUNTED_ROUNDS):
+        if number == SETTLE_ROUNDS:
+            opened = 0
+        bench.gossip()
+        kept += len(bench.peers._links) if number >= SETTLE_ROUNDS else 0
+    return kept / COUNTED_ROUNDS, opened / (COUNTED_ROUNDS * GOSSIP_SECONDS)
+
+
 async def _time(run, runs):
     begin = time.process_time()
     for _ in range(runs):
@@ -508,6 +534,9 @@
             found[f"choice of {count}{label}"] = await _time(run, 3000 // count)
         run = _Bench(count).prepare_choice(count, away=True)
         found[f"choice of {count}, a host lost"] = await _time(run, 3000 // count)
+    links, opened = _count_links(hosts)
+    found["links that gossip keeps"] = links
+    found["links opened in 100 s"] = 100 * opened
     tracemalloc.start()
     bench = _Bench(hosts, 0)
     bench.view.directory.hosts()
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -27,6 +27,7 @@
 )
 from damaskramp.relay.evacuation_messages import pack_evacuations, unpack_evacuations
 from damaskramp.relay.fleet_view import FleetView
+from damaskramp.relay.gossip_view import GossipView
 from damaskramp.relay.load_sharing import LoadSharing
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.messages import (
@@ -120,6 +121,7 @@
         self._unreachable: set[str] = set()
         self._introduced: set[str] = set()
         self._gossip_hosts: tuple[object, list[str], int] = (None, [], 0)
+        self._view = GossipView(random_source)
         self._packed_version = 0
         self._packed_document = b""
         self._informed = asyncio.Event()
@@ -211,11 +213,8 @@
             if host != own and host not in self._unreachable
         ]
         asked = self._random.sample(near, min(1, len(near)))
-        # One more than wanted, as the reader may be drawn again.
         count = GOSSIP_FANOUT + 1 - len(asked)
-        drawn = self._random.sample(hosts, min(count + 1, len(hosts)))
-        rest = [host for host in drawn if host not in asked]
-        return asked + rest[:count]
+        return asked + self._view.choose(hosts, self._unreachable, asked, count)
 
     def _known_hosts(self) -> list[str]:
         """Hosts other than this one, computed once for each list of hosts."""
