--- a/benchmarks/fleet_background.py
+++ b/benchmarks/fleet_background.py
@@ -43,7 +43,11 @@
 HOSTS_PER_SERVICE = 15
 MAX_ZONES = 8
 MAX_GOSSIP_LINKS = 75
-"""Links that gossip keeps open: 2.5 random peers a second, each kept for 30 s."""
+"""Links in each direction with which the activities run. Gossip alone keeps as many if
+it asks 2.5 peers a second that are drawn from all hosts, and calls keep others."""
+
+SETTLE_ROUNDS, COUNTED_ROUNDS = 250, 500
+"""Rounds of gossip before its links are counted, and while they are."""
 
 EPOCH = Epoch(1)
 GOSSIP_SECONDS, CHECK_SECONDS, EXECUTOR_SECONDS, SWEEP_SECONDS = 0.4, 0.1, 0.05, 0.5
@@ -121,6 +125,11 @@
     def open(self, host):
         return self._open(host)
 
+    def replace_open(self, open_link):
+        """Let a function open the link to a host."""
+        name = "_open" if hasattr(self._owner, "_open") else "_open_link"
+        setattr(self._owner, name, open_link)
+
     def replace(self, find):
         """Let a function find the link to a host."""
         name = "get" if hasattr(self._owner, "get") else "_link"
@@ -523,6 +532,31 @@
 event), and the runs of one turn."""
 
 
+def _count_links(hosts):
+    """Run rounds of gossip; return the mean number of links, and those opened."""
+    bench = _Bench(hosts, 0)
+    opened, kept = 0, 0
+    links = bench.peer_links
+    open_link = links.open
+
+    def count(host):
+        nonlocal opened
+        opened += 1
+        link = open_link(host)
+        link.connection_made(_Transport())
+        return link
+
+    links.replace_open(count)
+    gossip = _first(bench.node, "_periodic_work._gossip", "_gossip")
+    for number in range(SETTLE_ROUNDS + COUNTED_ROUNDS):
+        if number == SETTLE_ROUNDS:
+            opened = 0
+        bench.advance(GOSSIP_SECONDS)
+        gossip()
+        kept += len(links.by_host) if number >= SETTLE_ROUNDS else 0
+    return kept / COUNTED_ROUNDS, opened / (COUNTED_ROUNDS * GOSSIP_SECONDS)
+
+
 async def _time(run, runs):
     begin = time.process_time()
     for _ in range(runs):
@@ -553,6 +587,9 @@
             found[f"choice of {count}{label}"] = await _time(run, 3000 // count)
         run = _Bench(count).prepare_choice(count, away=True)
         found[f"choice of {count}, a host lost"] = await _time(run, 3000 // count)
+    links, opened = _count_links(hosts)
+    found["links that gossip keeps"] = links
+    found["links opened in 100 s"] = 100 * opened
     tracemalloc.start()
     bench = _Bench(hosts, 0)
     bench.view.directory.hosts()
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -14,6 +14,7 @@
 from damaskramp.fleet import FleetSource, SourceChanges
 from damaskramp.relay.fleet_exchange import FleetExchange
 from damaskramp.relay.fleet_view import FleetView
+from damaskramp.relay.gossip_view import GossipView
 from damaskramp.relay.messages import Call, Kind
 from damaskramp.relay.outcome_sink import Cancel, OutcomeSink
 from damaskramp.relay.peer_hosts import PeerHosts
@@ -68,6 +69,7 @@
     ) -> None:
         self._fleet_view = fleet_view
         self._random = random_source
+        self._view = GossipView(random_source)
         self._informed = asyncio.Event()
         self.hosts = PeerHosts(fleet_view, clock)
         self.usable = self.hosts.usable
@@ -163,11 +165,8 @@
         hosts = self.hosts.known
         near = self.hosts.reachable(self._fleet_view.readers)
         asked = self._random.sample(near, min(1, len(near)))
-        # One more than wanted, as the reader may be drawn again.
         count = GOSSIP_FANOUT + 1 - len(asked)
-        drawn = self._random.sample(hosts, min(count + 1, len(hosts)))
-        rest = [host for host in drawn if host not in asked]
-        return asked + rest[:count]
+        return asked + self._view.choose(hosts, self.hosts.unreachable, asked, count)
 
     def _broadcast_targets(self) -> list[str]:
         """Choose some hosts of the own zone; other zones have readers of their own."""
