Periodic timers: late runs do not delay the next ones

Cause: each periodic timer was armed again from the moment at which it ran, about a millisecond late, so the timers of a node drifted apart and each woke it by itself.

Change: the next run is due a period after the last one was due. Timers whose periods are multiples of each other run in the same turn of the loop. Missed runs are not made up for.

--- a/damaskramp/core/timers.py
+++ b/damaskramp/core/timers.py
@@ -75,13 +75,24 @@
             handle.cancel()
 
     def every(self, period: float, callback: Callback) -> TimerHandle:
-        """Run `callback` every `period` seconds until cancelled."""
+        """Run `callback` every `period` seconds until cancelled.
+
+        Runs that come late do not delay the next ones, so timers that were started
+        together and have multiples of a period run in the same turn of the loop. Runs
+        that were missed altogether are not made up for.
+        """
         handle = TimerHandle()
+        due = self.now + period
 
         def fire() -> None:
+            nonlocal due
             if handle.cancelled:
                 return
-            handle._loop_handle = self.after(period, fire)._loop_handle
+            late = self.now - due
+            if late >= period:
+                due, late = self.now, 0.0
+            due += period
+            handle._loop_handle = self.after(period - late, fire)._loop_handle
             callback()
 
         handle._loop_handle = self.after(period, fire)._loop_handle
