Benchmark of chains: the fake connections answer what the executor asks

Cause: benchmarks.chain_fleet fails since cold servers were added, as its fake of the connections lacks `oldest_idle`.

Change: the fake has it and keeps no idle connection.

--- a/benchmarks/chain_fleet.py
+++ b/benchmarks/chain_fleet.py
@@ -138,6 +138,9 @@
     def sweep(self):
         pass
 
+    def oldest_idle(self):
+        """Clock time of the oldest idle connection; none is kept."""
+
 
 class _ServerRun:
     """Run of one request at a backend server, with its calls."""
