Reads of bodies in chunks follow the size of the chunks

A node of 300 MB whose backend server answers 32 requests at once in chunks of one to three bytes was not ready for 40 s (two groups of tests/ test_misbehaving_clients_servers.py with seven times the clients). Each read of 256 KB of such an answer makes 32,000 calls of the parser, so one turn of the event loop took up to 3 s, and reads of the store ran into their timeout.

The next read of a body is as long as 64 of the parts of the last one, from 512 bytes to 256 KB (16 KB for callers, as before). Connections to the backend server read into a shared buffer for this.

--- a/damaskramp/relay/backend_connection.py
+++ b/damaskramp/relay/backend_connection.py
@@ -11,7 +11,11 @@
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.server_answer import Exchange, ExchangeFailure
-from damaskramp.relay.server_connection import OTHER_BYTES, ServerConnection
+from damaskramp.relay.server_connection import (
+    MAX_READ_BYTES,
+    OTHER_BYTES,
+    ServerConnection,
+)
 
 __all__ = ["ANSWER_BYTES", "OTHER_BYTES", "ServerConnections"]
 
@@ -38,6 +42,8 @@
 
     Attributes
     ----------
+    read_buffer : memoryview
+        Buffer that every connection is read into, one at a time.
     on_idle_closed : callable
         Called when the server has closed a connection that was kept for reuse.
     """
@@ -62,6 +68,7 @@
         self.memory = memory
         self.on_idle_closed: Callable[[], None] = lambda: None
         self.memory_queue = MemoryQueue(memory)
+        self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
 
     @property
     def held_bytes(self) -> int:
--- a/damaskramp/relay/caller_buffers.py
+++ b/damaskramp/relay/caller_buffers.py
@@ -15,9 +15,9 @@
 is unanswered. Reading stops only between two reads, so this bounds the number of
 requests that are parsed beyond the limit."""
 
-CHUNKED_READ_BYTES, BODY_READ_BYTES = 16 * 1024, 256 * 1024
-"""Most bytes that are read at once of a body in chunks and of others. Each chunk takes
-a call, so one read of chunks of one byte takes a few milliseconds."""
+BODY_READ_BYTES = 256 * 1024
+"""Most bytes that are read at once of a body that is not in chunks. Of one in chunks,
+the size of the chunks bounds the reads (`read_size`)."""
 
 WRITE_BUFFER_BYTES = 16 * 1024
 """Bytes of unsent answers from which they are reserved and no request is begun."""
@@ -50,7 +50,7 @@
             Whether an earlier request of the connection is unanswered.
         """
         if reader.request is not None and reader.head_done:
-            size = CHUNKED_READ_BYTES if reader.is_chunked else BODY_READ_BYTES
+            size = reader.chunked_read_bytes if reader.is_chunked else BODY_READ_BYTES
         else:
             size = PIPELINED_READ_BYTES if busy else HEAD_READ_BYTES
         return self._view[:size]
--- a/damaskramp/relay/caller_reader.py
+++ b/damaskramp/relay/caller_reader.py
@@ -15,6 +15,7 @@
 from damaskramp.relay.caller_memory import BodyMemory, BodyWaiter
 from damaskramp.relay.caller_request import AnswerSink, CallerRequest
 from damaskramp.relay.headers import names_fields
+from damaskramp.relay.read_size import next_read_bytes
 
 if TYPE_CHECKING:
     from damaskramp.relay.caller_listener import CallerListener
@@ -32,6 +33,9 @@
 """Bytes of chunk lines and trailers for each byte of a body, beyond the size of a head:
 chunks of one byte have 5."""
 
+FIRST_CHUNKED_READ_BYTES, MAX_CHUNKED_READ_BYTES = 4096, 16 * 1024
+"""Most bytes of the first read of a body in chunks, and of any."""
+
 MIN_PROGRESS_BYTES = 1024
 PROGRESS_SHARE = 64
 """A body has progressed when a 64th of it, and at least 1,024 bytes, has arrived. A
@@ -82,6 +86,8 @@
         Whether the head of that request is complete.
     progressed_at : float
         Clock time, in seconds, of the request's begin or its body's last progress.
+    chunked_read_bytes : int
+        Most bytes of the next read of a body in chunks.
     """
 
     def __init__(self, listener: "CallerListener", sink: RequestSink) -> None:
@@ -94,7 +100,9 @@
         self._awaited_bytes = 0
         self._awaits_small = False
         self._next_mark = 0
+        self._parts = 0
         self._early_status = ReadStatus.OK
+        self.chunked_read_bytes = FIRST_CHUNKED_READ_BYTES
         self.request: CallerRequest | None = None
         self.head_done = True
         self.progressed_at = listener.clock()
@@ -135,6 +143,11 @@
         request = self.request
         if request is None:
             return ReadStatus.OK
+        if in_body and self.is_chunked:
+            parts, self._parts = self._parts, 0
+            self.chunked_read_bytes = next_read_bytes(
+                len(data), parts, MAX_CHUNKED_READ_BYTES
+            )
         if not self.head_done and self._head_bytes > self._listener.limits.header_bytes:
             return ReadStatus.HEAD_TOO_LARGE
         if self._early_status:
@@ -213,7 +226,8 @@
     def on_headers_complete(self) -> None:
         """Check the head, and reserve memory for the body."""
         self.head_done = True
-        self._head_bytes = self._body_wire_bytes = self._next_mark = 0
+        self._head_bytes = self._body_wire_bytes = self._next_mark = self._parts = 0
+        self.chunked_read_bytes = FIRST_CHUNKED_READ_BYTES
         request = self.request
         if (
             request.head_bytes + len(request.target)
@@ -231,6 +245,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body."""
+        self._parts += 1
         request = self.request
         if request.length is None:
             self._reserve(request, len(data))
--- a/damaskramp/relay/server_connection.py
+++ b/damaskramp/relay/server_connection.py
@@ -16,12 +16,13 @@
 from damaskramp.http import discard_on_close
 from damaskramp.relay.answer_intake import AnswerIntake, append_chunk
 from damaskramp.relay.messages import FRAGMENT_BYTES
+from damaskramp.relay.read_size import FIRST_READ_BYTES, next_read_bytes
 from damaskramp.relay.server_answer import Exchange, ExchangeFailure, ServerAnswer
 
 if TYPE_CHECKING:
     from damaskramp.relay.backend_connection import ServerConnections
 
-__all__ = ["OTHER_BYTES", "ServerConnection"]
+__all__ = ["MAX_READ_BYTES", "OTHER_BYTES", "ServerConnection"]
 
 MAX_HEAD_BYTES = 64 * 1024
 """Most bytes outside bodies for each request: heads, including those of informational
@@ -36,8 +37,11 @@
 OTHER_BYTES = 4 * 1024 * 1024
 """Most bytes of bodies of skipped answers to earlier requests, for each request."""
 
+MAX_READ_BYTES = 256 * 1024
+"""Most bytes that are read at once, of a body that comes in large parts."""
 
-class ServerConnection(asyncio.Protocol):
+
+class ServerConnection(asyncio.BufferedProtocol):
     """Connection of a `ServerConnections` pool.
 
     Attributes
@@ -61,6 +65,8 @@
         self._received = 0
         self._body_bytes = 0
         self._other_bytes = 0
+        self._parts = 0
+        self._read_bytes = FIRST_READ_BYTES
         self._has_framing = False
         self._echoed_id = b""
         self._reusable = True
@@ -95,6 +101,7 @@
         self._received = 0
         self._body_bytes = 0
         self._other_bytes = 0
+        self._read_bytes = FIRST_READ_BYTES
         self._is_handed_on = False
         # The answer to a request without an id can't be distinguished from a late one.
         self._reusable = bool(request_id)
@@ -119,16 +126,21 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes; all connections share one."""
+        return self._pool.read_buffer[: self._read_bytes]
+
+    def buffer_updated(self, size: int) -> None:
         """Parse data from the server, and hand on what it completes."""
         if self._exchange is None:
             # No request is open, so these bytes belong to none.
             self._pool.counters.add("backend_unasked_bytes")
             self.abandon()
             return
-        self._received += len(data)
+        self._received += size
+        self._parts = 0
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(self._pool.read_buffer[:size])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reusable = False
             if self._complete_answer is None:
@@ -137,6 +149,7 @@
         if self._complete_answer is None and self._is_too_large():
             self._fail(ExchangeFailure.TOO_LARGE)
             return
+        self._read_bytes = next_read_bytes(size, self._parts, MAX_READ_BYTES)
         self._advance()
 
     def _is_too_large(self) -> bool:
@@ -262,6 +275,7 @@
         if self._has_unsolicited or self._complete_answer is not None:
             return
         self._body_bytes += len(data)
+        self._parts += 1
         if self._chunks is not None:
             append_chunk(self._chunks, data)
         elif self._intake is not None:
--- a/damaskramp/relay/tests/test_caller_turns.py
+++ b/damaskramp/relay/tests/test_caller_turns.py
@@ -9,6 +9,7 @@
 from damaskramp.relay.caller_request import RequestHandler
 from damaskramp.relay.caller_turns import REQUESTS_PER_TURN, CallerTurns, TurnTaker
 from damaskramp.relay.headers import ReservedNames
+from damaskramp.relay.read_size import MIN_READ_BYTES
 from damaskramp.relay.shedding import SheddingLog
 from damaskramp.testing import LoopTestCase
 
@@ -144,6 +145,25 @@
         connection.buffer_updated(size)
         return data[size:]
 
+    def test_chunks_of_one_byte_are_read_in_small_steps(self):
+        """16 KiB of them take 4 ms, and the loop has one read of each connection."""
+
+        async def read_sizes(data):
+            connection, _ = self.connect(self.make_listener())
+            head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            self.send(connection, head)
+            sizes = []
+            for _ in range(4):
+                sizes.append(len(connection.get_buffer(-1)))
+                data = self.send(connection, data)
+            return sizes
+
+        sizes = self.run_loop(read_sizes(b"1\r\nx\r\n" * 10_000))
+        self.assertLessEqual(sizes[0], 4096)
+        self.assertLessEqual(max(sizes[1:]), MIN_READ_BYTES)
+        large = self.run_loop(read_sizes(b"10000\r\n" + b"x" * 65_536))
+        self.assertEqual([16_384] * 3, large[1:])
+
     def test_many_connections_leave_each_turn_of_the_loop_short(self):
         async def scenario():
             listener = self.make_listener()
