Test of a stop during an answer: grace for a slow machine

test_stop_waits_for_an_answer_that_is_sent_to_another_node failed once with 502 at a machine load of 20 to 45. The answer of 6 MiB takes 4.3 s at the rate of the stand-in for a slow network, which shares the event loop with both nodes and loses rate when that loop is late; the node's grace period was 6 s. With 0.9 or 1.1 MiB/s instead of 1.4 the test failed in this way each time.

The grace period is 14 s, below the request's timeout. With it, the test passes at 0.9 and 0.6 MiB/s, and still fails if a stop does not count what is unsent to other nodes.

--- a/tests/test_relay_links.py
+++ b/tests/test_relay_links.py
@@ -171,7 +171,7 @@
 
         async def scenario(fleet, link):
             node = fleet.nodes[1]
-            node.reload(dataclasses.replace(fleet.settings(1), grace_seconds=6.0))
+            node.reload(dataclasses.replace(fleet.settings(1), grace_seconds=14.0))
             answer = asyncio.ensure_future(fleet.ask("/large"))
             await fleet.until(lambda: fleet.servers[1].seen)
             whole = await node.stop()
