--- a/damaskramp/relay/answer_reader.py
+++ b/damaskramp/relay/answer_reader.py
@@ -52,6 +52,8 @@
         Parser to feed with the bytes that arrive.
     received : int
         Bytes that have arrived for the present request.
+    parts : int
+        Parts of bodies that have arrived since it was last set to 0.
     answer : ServerAnswer or None
         Answer that is arriving.
     complete_answer : ServerAnswer or None
@@ -90,6 +92,7 @@
         self._is_own = False
         self.parser = httptools.HttpResponseParser(self)
         self.received = 0
+        self.parts = 0
         self.answer: ServerAnswer | None = None
         self.complete_answer: ServerAnswer | None = None
         self.intake: AnswerIntake | None = None
@@ -216,6 +219,7 @@
         if self.has_unsolicited or self.complete_answer is not None:
             return
         self._body_bytes += len(data)
+        self.parts += 1
         if self._chunks is not None:
             append_chunk(self._chunks, data)
         elif self.intake is not None:
--- a/damaskramp/relay/server_connection.py
+++ b/damaskramp/relay/server_connection.py
@@ -17,15 +17,19 @@
 from damaskramp.relay.answer_intake import AnswerIntake
 from damaskramp.relay.answer_reader import AnswerReader
 from damaskramp.relay.messages import FRAGMENT_BYTES
+from damaskramp.relay.read_size import FIRST_READ_BYTES, next_read_bytes
 from damaskramp.relay.server_answer import Exchange, ExchangeFailure
 
 if TYPE_CHECKING:
     from damaskramp.relay.backend_connection import ServerConnections
 
-__all__ = ["ServerConnection"]
+__all__ = ["MAX_READ_BYTES", "ServerConnection"]
 
+MAX_READ_BYTES = 256 * 1024
+"""Most bytes that are read at once, of a body that comes in large parts."""
 
-class ServerConnection(asyncio.Protocol):
+
+class ServerConnection(asyncio.BufferedProtocol):
     """Connection of a `ServerConnections` pool.
 
     Attributes
@@ -41,6 +45,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._reader: AnswerReader | None = None
+        self._read_bytes = FIRST_READ_BYTES
         self._is_handed_on = False
         self._is_paused = False
         self.idle_until = 0.0
@@ -78,6 +83,7 @@
     ) -> None:
         """Send a request; its outcome goes to the exchange."""
         self._exchange = exchange
+        self._read_bytes = FIRST_READ_BYTES
         self._is_handed_on = False
         self._reader.begin(exchange.head_received, request_id, head_only)
         if len(body) <= FRAGMENT_BYTES:
@@ -99,7 +105,11 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes; all connections share one."""
+        return self._pool.read_buffer[: self._read_bytes]
+
+    def buffer_updated(self, size: int) -> None:
         """Parse data from the server, and hand on what it completes."""
         if self._exchange is None:
             # No request is open, so these bytes belong to none.
@@ -107,9 +117,10 @@
             self.abandon()
             return
         reader = self._reader
-        reader.received += len(data)
+        reader.received += size
+        reader.parts = 0
         try:
-            reader.parser.feed_data(data)
+            reader.parser.feed_data(self._pool.read_buffer[:size])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             reader.reusable = False
             if reader.complete_answer is None:
@@ -118,6 +129,7 @@
         if reader.complete_answer is None and reader.is_too_large:
             self._fail(ExchangeFailure.TOO_LARGE)
             return
+        self._read_bytes = next_read_bytes(size, reader.parts, MAX_READ_BYTES)
         self._advance()
 
     def eof_received(self) -> bool:
