Soak: checks of hosts in contact judge requests in spite of faults elsewhere

Cause: a fault of any host excused requests of all hosts for its span and three seconds more, and a schedule has a fault every 1.1 s. Change: only faults that separate a request's own host from the store count, within the bound before the request. Stated limits and planned stops look at faults of their own host. Calls of a repeated run count as repeats. The ratio of repeats is 0.05, so that the budget can be exceeded. Cuts between two hosts (pair_cut), by the owner of a port. Callers pipeline three requests at times. Unfinished bodies of 80 clients exceed a node's memory unless it limits them. Concurrent runs claim different networks. Planted faults that no longer replaced anything (passes_on_keys, accepts_late_answers, ignores_evacuations) or did not change the status (false_refusals) do now; eleven new.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,6 +19,9 @@
     ("GET", "/swap/page", "swap", True),
 )
 MAX_BODY_BYTES = 3000
+PIPELINE_SHARE = 0.1
+PIPELINE_LENGTH = 3
+"""Requests that a caller sends at once: one is answered while two wait."""
 
 
 class Caller:
@@ -60,6 +63,23 @@
                 self._reader, self._writer = await asyncio.open_connection(
                     self._host.ip, self._fleet.callers_port, limit=1 << 20
                 )
+        is_pipeline = not request_id and self._random.random() < PIPELINE_SHARE
+        count = PIPELINE_LENGTH if is_pipeline else 1
+        awaited = [self._send(request_id) for _ in range(count)]
+        try:
+            while awaited and self._reader is not None:
+                await self._read_answer(awaited[0])
+                self._end(awaited.pop(0))
+        finally:
+            for told in awaited:
+                self._end(told)
+
+    def _end(self, told):
+        told.at = self._fleet.record.now
+        self._fleet.record.add_told(told)
+
+    def _send(self, request_id):
+        """Send a request; return the record of its answer, to be completed."""
         method, path, service, idempotent = self._path or self._random.choice(PATHS)
         team, key = self._keys or self._random.choice(self._fleet.usable_keys())
         body = b""
@@ -89,12 +109,7 @@
                 digest,
             )
         )
-        told = Told(request_id, 0, 0.0)
-        try:
-            await self._read_answer(told)
-        finally:
-            told.at = record.now
-            record.add_told(told)
+        return Told(request_id, 0, 0.0)
 
     async def _read_answer(self, told):
         async with asyncio.timeout(DEADLINE_SECONDS + ANSWER_MARGIN_SECONDS):
@@ -120,6 +135,9 @@
     """
 
     CLIENTS = 12
+    UNFINISHED_CLIENTS = 80
+    """Clients whose unfinished bodies of 1 MB would exceed a node's memory."""
+
     PIECE_SECONDS = 0.05
 
     def __init__(self, fleet, host, kind):
@@ -138,7 +156,9 @@
             self._task.cancel()
 
     async def _run(self):
-        await asyncio.gather(*(self._client() for _ in range(self.CLIENTS)))
+        is_unfinished = self._kind == "unfinished_bodies"
+        count = self.UNFINISHED_CLIENTS if is_unfinished else self.CLIENTS
+        await asyncio.gather(*(self._client() for _ in range(count)))
 
     async def _client(self):
         ports = (self._fleet.callers_port, self._fleet.readiness_port)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -12,28 +12,12 @@
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
-HOST_FAULTS = frozenset(
-    {
-        "freeze",
-        "kill",
-        "terminate",
-        "log_unread",
-        "node ends",
-        "node started",
-        "peers_delayed",
-        "peers_reset",
-        "peers_silent",
-        "peers_one_way",
-        "peers_trickle",
-        "store_shut",
-        "server_silent",
-        "server_reset",
-        "slow_callers",
-        "unfinished_bodies",
-        "pipelined",
-    }
-)
-"""Events after which a host counts as out of contact for the stable window."""
+NODE_FAULTS = frozenset({"freeze", "kill", "log_unread"})
+"""Events that end or halt a host's node without warning."""
+
+CONTACT_FAULTS = frozenset({"freeze", "node started", "store_shut", "log_unread"})
+"""Events of a host that separate its node from the store. Cuts between hosts and
+faults of servers and callers do not: the node must still read the store in time."""
 
 STORE_FAULTS = frozenset({"store_silent", "store_busy", "store_restored"})
 
@@ -50,9 +34,9 @@
     stable_window: float = 3.0
     start_up: float = 5.0
     recovery: float = 15.0
-    retry_ratio: float = 0.2
+    retry_ratio: float = 0.05
     retry_window: float = 10.0
-    retry_allowance: float = 30.0
+    retry_allowance: float = 10.0
     quota_window: float = 5.0
     quota_overshoot: float = 0.25
     quota_slack: float = 20.0
@@ -104,25 +88,28 @@
             self.by_service[arrival.service].append(arrival)
             if arrival.ran:
                 self.runs[arrival.request_id].append(arrival)
-        self._faults = defaultdict(list)
+        self._store_faults = [n for n in record.notices if n.what in STORE_FAULTS]
+        self._contact_faults = defaultdict(list)
+        self._node_faults = defaultdict(list)
         for notice in record.notices:
-            if notice.what in HOST_FAULTS:
-                self._faults[notice.host].append((notice.at, notice.until))
-            elif notice.what in STORE_FAULTS:
-                self._faults[None].append((notice.at, notice.until))
+            if notice.what in CONTACT_FAULTS:
+                self._contact_faults[notice.host].append(notice)
+            if notice.what in NODE_FAULTS | {"node started"}:
+                self._node_faults[notice.host].append(notice)
+
+    def is_steady(self, host, at):
+        """Whether a host's node has run for the stable window."""
+        return self._are_over(self._node_faults[host], at, at)
 
     def in_contact(self, host, since, until):
-        """Whether host, store and all links were undisturbed in a span of time.
+        """Whether a host's node could read the store in a span of time."""
+        faults = self._contact_faults[host] + self._store_faults
+        return self._are_over(faults, since, until)
 
-        Links are disturbed at their target, so a fault of another host may also
-        separate two hosts.
-        """
+    def _are_over(self, faults, since, until):
         start = since - self.bounds.stable_window
-        return not any(
-            begins < until and ends > start
-            for spans in self._faults.values()
-            for begins, ends in self._settled(spans)
-        )
+        spans = self._settled((notice.at, notice.until) for notice in faults)
+        return not any(begins < until and ends > start for begins, ends in spans)
 
     def _settled(self, spans):
         for begins, ends in spans:
@@ -226,16 +213,22 @@
 
 
 def bounded_retries(checker):
-    """Repeats of a service stay within the retry budget, over all hosts."""
+    """Repeats of a service stay within the retry budget, over all hosts.
+
+    Calls that a repeated run makes count as repeats, and not as requests.
+    """
     bounds = checker.bounds
+    of_repeats = {s.request_id for s in checker.record.sent.values() if s.of_repeat}
     for service, arrivals in checker.by_service.items():
-        seen, repeats = set(), []
+        seen, repeats = set(of_repeats), []
         for arrival in arrivals:
             if arrival.request_id in seen:
                 repeats.append(arrival.at)
             seen.add(arrival.request_id)
         sent = sorted(
-            s.at for s in checker.record.sent.values() if s.service in (service, "swap")
+            s.at
+            for s in checker.record.sent.values()
+            if s.service in (service, "swap") and not s.of_repeat
         )
         yield from _over_budget(service, sorted(repeats), sent, bounds)
 
@@ -278,12 +271,11 @@
     allowed += bounds.limit_slack
     for notice in checker.record.of("states_limit"):
         since = notice.at + bounds.stable_window
-        if not checker.in_contact(notice.host, notice.at, notice.until):
-            continue
         times = [
             arrival.at
             for arrival in checker.by_server[notice.host]
             if since <= arrival.at <= notice.until
+            and checker.is_steady(notice.host, arrival.at)
         ]
         found, start = densest(times, bounds.limit_window)
         if found > allowed:
@@ -299,7 +291,8 @@
             if sent is None or arrival.misdirected:
                 continue
             late = since < sent.at and arrival.at < notice.until - 0.5
-            if late and checker.in_contact(sent.host, notice.at, arrival.at):
+            told = max(notice.at, sent.at - checker.bounds.drain)
+            if late and checker.in_contact(sent.host, told, arrival.at):
                 yield arrival.at, f"{sent.request_id} at leaving server {notice.host}"
 
 
@@ -313,7 +306,8 @@
             if host.zone != notice.detail or sent is None or arrival.misdirected:
                 continue
             late = since < sent.at and arrival.at < notice.until
-            if late and checker.in_contact(sent.host, notice.at, arrival.at):
+            told = max(notice.at, sent.at - checker.bounds.evacuation)
+            if late and checker.in_contact(sent.host, told, arrival.at):
                 yield arrival.at, f"{sent.request_id} in evacuated zone {host.zone}"
 
 
@@ -325,8 +319,8 @@
         oldest = _newest_version(versions, sent.at - bounds.config_apply)
         newest = _newest_version(versions, run.at)
         allowed = {service for _, service in versions[oldest : newest + 1]}
-        old = versions[oldest][0]
-        if run.service not in allowed and checker.in_contact(sent.host, old, run.at):
+        told = sent.at - bounds.config_apply
+        if run.service not in allowed and checker.in_contact(sent.host, told, run.at):
             yield run.at, f"{sent.request_id} ran at {run.service}, of an old version"
 
 
@@ -375,15 +369,17 @@
 
 
 def planned_stops(checker):
-    """A planned stop without other faults cuts no request that has run."""
-    others = [
-        (notice.at, notice.until)
-        for notice in checker.record.notices
-        if notice.what in HOST_FAULTS | STORE_FAULTS
-        and notice.what not in ("terminate", "node ends", "node started")
-    ]
+    """A planned stop of a node cuts no request that has run.
+
+    Faults of other hosts end requests with an answer, not with a cut connection.
+    """
     window = checker.bounds.stable_window
     for stop in checker.record.of("terminate"):
+        others = [
+            (notice.at, notice.until)
+            for notice in checker.record.notices
+            if notice.host == stop.host and notice.what in NODE_FAULTS
+        ]
         if any(a < stop.until and b > stop.at - window for a, b in others):
             continue
         for sent in checker.record.sent.values():
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -49,6 +49,7 @@
         self._tasks = []
         self._copies = []
         self._nodes_busy = set()
+        self._cut_pairs = []
 
     async def run(self):
         """Apply all events, and wait until the last one has ended."""
@@ -131,6 +132,21 @@
     async def _peers_reset(self, event, host):
         host.peers_proxy.reset()
 
+    async def _pair_cut(self, event, host):
+        """Silence all connections between two hosts, in both directions."""
+        pair = {event.host, event.peer}
+        self._cut_pairs.append(pair)
+        self._update_cuts(pair)
+        await asyncio.sleep(event.seconds)
+        self._cut_pairs.remove(pair)
+        self._update_cuts(pair)
+
+    def _update_cuts(self, pair):
+        for number in pair:
+            peers = set().union(*(p for p in self._cut_pairs if number in p)) - {number}
+            proxy = self._fleet.hosts[number].peers_proxy
+            proxy.set_cut(self._fleet.ports_finder(peers) if peers else None)
+
     async def _server_reset(self, event, host):
         host.server_proxy.reset()
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import contextlib
-import itertools
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -33,7 +33,34 @@
 
 KEYS_PER_TEAM = 4
 
-_networks = itertools.count(1)
+NETWORKS = 250
+CLAIM_PORT = 8299
+
+PROC_TCP_PORT, PROC_TCP_INODE = 1, 9
+"""Columns of /proc/net/tcp with the local address and the number of the socket."""
+
+
+def _claim_network():
+    """Return a listener that keeps other runs away, and a prefix of addresses.
+
+    Concurrent runs on one machine get different prefixes.
+    """
+    for number in range(NETWORKS):
+        prefix = f"127.{NETWORK + WORKER}.{(os.getpid() + number) % NETWORKS}"
+        with contextlib.suppress(OSError):
+            return socket.create_server((f"{prefix}.253", CLAIM_PORT)), prefix
+    raise RuntimeError("other runs use all networks")
+
+
+def _sockets_of(pid):
+    """Numbers of the sockets that a process holds."""
+    folder, found = f"/proc/{pid}/fd", set()
+    for name in os.listdir(folder):
+        with contextlib.suppress(OSError):
+            link = os.readlink(f"{folder}/{name}")
+            if link.startswith("socket:["):
+                found.add(link.removeprefix("socket:[").removesuffix("]"))
+    return found
 
 
 class Host:
@@ -184,7 +211,7 @@
     callers_port, peers_port, readiness_port = 8201, 8202, 8203
     metrics_port, server_port, backend_port, bind_port = 8204, 8205, 8206, 8207
     memory_mb = 120
-    body_bytes = 100_000
+    body_bytes = 1_000_000
     warmup_seconds = 3.0
     warmup_rate = 8.0
     warmup_overshoot = 1.5
@@ -200,8 +227,7 @@
         self.record = record
         self.mutant = mutant
         self.program = "tests.soak.mutants" if mutant else "damaskramp.cli.node"
-        network = (os.getpid() + next(_networks)) % 250
-        self.prefix = f"127.{NETWORK + WORKER}.{network}"
+        self._claim, self.prefix = _claim_network()
         self.store = StoreStandIn()
         self.version = 0
         self.swap_service = "front"
@@ -363,16 +389,40 @@
 [bounds]
 revoke_seconds = "{self.revoke_seconds:g}s"
 grace_seconds = "{self.grace_seconds:g}s"
-retry_ratio = 0.2
+retry_ratio = 0.05
 retry_window = "10s"
-retry_allowance = 30
+retry_allowance = 10
 memory_mb = {self.memory_mb}
 warmup_overshoot = {self.warmup_overshoot}
 warmup_slack = {self.warmup_slack}
 evacuation_seconds = "{self.evacuation_seconds:g}s"
 """
 
+    def ports_finder(self, numbers):
+        """Return a function that picks the client ports that nodes of hosts hold.
+
+        All connections on loopback come from one address, so the port tells whose
+        connection it is.
+        """
+
+        def find(ports):
+            sockets = set()
+            for number in numbers:
+                process = self.hosts[number].process
+                if process is not None:
+                    with contextlib.suppress(OSError):
+                        sockets |= _sockets_of(process.pid)
+            found = set()
+            for line in Path("/proc/net/tcp").read_text("ascii").splitlines()[1:]:
+                columns = line.split()
+                if columns[PROC_TCP_INODE] in sockets:
+                    found.add(int(columns[PROC_TCP_PORT].rpartition(":")[2], 16))
+            return ports & found
+
+        return find
+
     def stop(self):
         """End all processes and stand-ins."""
         for host in self.hosts:
             host.stop()
+        self._claim.close()
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -35,10 +35,10 @@
 
 
 def _promise_not_run():
-    from damaskramp.core import Outcome
+    from damaskramp.core import Outcome, Reason
     from damaskramp.dispatch.attempts import Attempts
 
-    Attempts.final_outcome = lambda self, reason: (reason, Outcome.NOT_RUN)
+    Attempts.final_outcome = lambda self, reason: (Reason.OVERLOADED, Outcome.NOT_RUN)
 
 
 def _keep_withdrawn_keys():
@@ -58,15 +58,17 @@
 
 
 def _pass_on_keys():
-    from damaskramp.relay import outgoing
+    from damaskramp.relay.outgoing import OutgoingRequest
 
-    original = outgoing.OutgoingHeaders.__init__
+    original = OutgoingRequest.__init__
 
-    def __init__(self, names, service):
-        original(self, names, service)
-        self.dropped_from_request = self.dropped_from_request - {names.key.lower()}
+    def __init__(self, request, headers, team):
+        original(self, request, headers, team)
+        line, _, rest = self._head.partition(b"\r\n")
+        field = b"%b: %b" % (headers.names.key, request.key)
+        self._head = b"\r\n".join((line, field, rest))
 
-    outgoing.OutgoingHeaders.__init__ = __init__
+    OutgoingRequest.__init__ = __init__
 
 
 def _admit_every_team():
@@ -83,9 +85,9 @@
 
 
 def _accept_late_answers():
-    from damaskramp.relay import backend_connection
+    from damaskramp.relay.server_connection import ServerConnection
 
-    backend_connection._Connection._is_own_answer = lambda self: True
+    ServerConnection._is_own_answer = lambda self: True
 
 
 def _forget_the_team():
@@ -112,7 +114,7 @@
 def _ignore_evacuations():
     from damaskramp.fleet.evacuations import Evacuations
 
-    Evacuations.is_evacuated = lambda self, zone: False
+    Evacuations.zones = property(lambda self: frozenset())
 
 
 def _ignore_leaving_servers():
@@ -132,6 +134,123 @@
     FleetView.adopt_configuration = adopt_configuration
 
 
+def _keep_every_body():
+    from damaskramp.relay.caller_memory import BodyMemory
+
+    def reserve(self, size):
+        self.reserve_unchecked(size)
+        return True
+
+    BodyMemory.reserve = reserve
+
+
+def _leak_descriptors():
+    import os
+
+    from damaskramp.relay.caller_connection import CallerConnection
+
+    original = CallerConnection.receive_request
+
+    def receive_request(self, request):
+        os.dup(0)
+        original(self, request)
+
+    CallerConnection.receive_request = receive_request
+
+
+def _reorder_answers():
+    from damaskramp.relay.caller_connection import CallerConnection
+
+    original = CallerConnection._begin_next
+
+    def _begin_next(self):
+        self._pipelined.reverse()
+        original(self)
+
+    CallerConnection._begin_next = _begin_next
+
+
+def _cut_bodies():
+    from damaskramp.relay.outgoing import OutgoingRequest
+
+    original = OutgoingRequest.__init__
+
+    def __init__(self, request, headers, team):
+        request.body = request.body[:1000]
+        original(self, request, headers, team)
+
+    OutgoingRequest.__init__ = __init__
+
+
+def _spend_without_budget():
+    from damaskramp.dispatch.retry_budget import RetryBudget, SpendDecision
+
+    def decide(self, service, now, depth, rank):
+        return SpendDecision.ALLOWED
+
+    RetryBudget.decide = decide
+
+
+def _ignore_stated_limits():
+    from damaskramp.dispatch.server_rate import ServerRate
+
+    ServerRate._state_limit = lambda self, limit, now: None
+
+
+def _return_to_older_configuration():
+    import asyncio
+
+    from damaskramp.relay.fleet_view import FleetView
+
+    original = FleetView.adopt_configuration
+    version = FleetView.version
+
+    def go_back(self, configuration):
+        FleetView.version = 0
+        original(self, configuration)
+        FleetView.version = version
+
+    def adopt_configuration(self, configuration):
+        before = self.configuration
+        adopted = original(self, configuration)
+        if adopted and before is not None:
+            asyncio.get_running_loop().call_later(1.0, go_back, self, before)
+        return adopted
+
+    FleetView.adopt_configuration = adopt_configuration
+
+
+def _never_stop():
+    import asyncio
+
+    from damaskramp.relay.node import RelayNode
+
+    RelayNode.stop = lambda self: asyncio.sleep(3600)
+
+
+def _end_with_a_link():
+    import os
+
+    from damaskramp.relay.peer_link import PeerLink
+
+    PeerLink.connection_lost = lambda self, error: os._exit(1)
+
+
+def _give_up_the_store():
+    import asyncio
+
+    from damaskramp.relay.watcher import Watcher
+
+    original = Watcher._read
+
+    async def _read(self, work, asked_at):
+        if not await original(self, work, asked_at) and self._position is not None:
+            await asyncio.sleep(3600)
+        return True
+
+    Watcher._read = _read
+
+
 MUTANTS = {
     "repeats": Mutant("at_most_once", _repeat_everything),
     "false_refusals": Mutant("true_refusals", _promise_not_run),
@@ -145,6 +264,17 @@
     "ignores_evacuations": Mutant("evacuated_zones", _ignore_evacuations),
     "ignores_leaving": Mutant("left_servers", _ignore_leaving_servers),
     "keeps_configuration": Mutant("configuration_in_force", _never_read_again),
+    "keeps_bodies": Mutant("bounded_memory", _keep_every_body),
+    "leaks_descriptors": Mutant("bounded_memory", _leak_descriptors),
+    "reorders_answers": Mutant("own_answers", _reorder_answers),
+    "cuts_bodies": Mutant("asked_for", _cut_bodies),
+    "spends_without_budget": Mutant("bounded_retries", _spend_without_budget),
+    "ignores_limits": Mutant("stated_limits", _ignore_stated_limits),
+    "goes_back": Mutant("no_regression", _return_to_older_configuration),
+    "states_lower": Mutant("versions_never_fall", _return_to_older_configuration),
+    "never_stops": Mutant("planned_stops_in_time", _never_stop),
+    "ends_with_a_link": Mutant("processes_live", _end_with_a_link),
+    "gives_up_the_store": Mutant("recovers", _give_up_the_store),
 }
 """Planted faults by name."""
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -52,7 +52,9 @@
         self._mode = LinkMode.PASS
         self._delay = 0.0
         self._changed = asyncio.Event()
-        self._writers = set()
+        self._find_cut = None
+        self._cut_ports = set()
+        self._writers = {}
         self._server = None
 
     async def start(self):
@@ -78,6 +80,23 @@
         self._mode, self._delay = mode, delay
         if mode is LinkMode.REFUSED:
             self.reset()
+        self._wake()
+
+    def set_cut(self, find_cut):
+        """Silence the connections of some clients, and no others.
+
+        Parameters
+        ----------
+        find_cut : callable or None
+            Returns those of a set of client ports whose connections are to be silent;
+            None ends the cut.
+        """
+        self._find_cut = find_cut
+        ports = set(self._writers.values())
+        self._cut_ports = find_cut(ports) if find_cut is not None else set()
+        self._wake()
+
+    def _wake(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -91,37 +110,42 @@
         if self._mode is LinkMode.REFUSED:
             reset_connection(writer)
             return
-        self._writers.add(writer)
+        port = writer.get_extra_info("peername")[1]
+        self._writers[writer] = port
+        if self._find_cut is not None:
+            self._cut_ports |= self._find_cut({port})
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 *self._target, limit=CHUNK_BYTES
             )
         except OSError:
-            self._writers.discard(writer)
+            self._writers.pop(writer, None)
             reset_connection(writer)
             return
-        self._writers.add(far_writer)
+        self._writers[far_writer] = port
         # The run ends while connections are open.
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.gather(
-                self._pump(reader, far_writer, LinkMode.SILENT_TO_TARGET),
-                self._pump(far_reader, writer, LinkMode.SILENT_FROM_TARGET),
+                self._pump(reader, far_writer, port, LinkMode.SILENT_TO_TARGET),
+                self._pump(far_reader, writer, port, LinkMode.SILENT_FROM_TARGET),
             )
-        self._writers -= {writer, far_writer}
+        for one in (writer, far_writer):
+            self._writers.pop(one, None)
+        self._cut_ports.discard(port)
 
-    async def _pump(self, reader, writer, blocked):
+    async def _pump(self, reader, writer, port, blocked):
         """Pass bytes on in one direction until it ends."""
         try:
             while data := await reader.read(CHUNK_BYTES):
-                await self._pass(data, writer, blocked)
+                await self._pass(data, writer, port, blocked)
             with contextlib.suppress(OSError):
                 writer.write_eof()
         except OSError:
             # A reset at one side is a reset at the other.
             reset_connection(writer)
 
-    async def _pass(self, data, writer, blocked):
-        while self._mode in (LinkMode.SILENT, blocked):
+    async def _pass(self, data, writer, port, blocked):
+        while self._mode in (LinkMode.SILENT, blocked) or port in self._cut_ports:
             await self._changed.wait()
         if self._mode is LinkMode.DELAYED:
             await asyncio.sleep(self._delay)
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -21,6 +21,8 @@
     ----------
     is_call : bool
         Whether a backend server made the request while it ran another one.
+    of_repeat : bool
+        Whether that other request had run before.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     at: float
     digest: str
     is_call: bool = False
+    of_repeat: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,6 +83,7 @@
         self.sent = {}
         self.told = {}
         self.arrivals = []
+        self._run_ids = set()
         self.notices = []
 
     def restart_clock(self):
@@ -101,6 +105,13 @@
     def add_told(self, told):
         self.told[told.request_id] = told
 
+    def begin_run(self, arrival):
+        """Record that a server runs a request; return whether it ran before."""
+        arrival.ran = True
+        is_repeat = arrival.request_id in self._run_ids
+        self._run_ids.add(arrival.request_id)
+        return is_repeat
+
     def add_notice(self, what, host=-1, detail=""):
         """Record a change that begins now, and return its record."""
         notice = Notice(what, self.now, host, detail)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -30,8 +30,14 @@
 MUTANT = flags.DEFINE_enum(
     "mutant", "", ["", *MUTANTS], "planted fault of the nodes that is to be caught"
 )
+REGRESSIONS = flags.DEFINE_bool(
+    "regressions", False, "run the schedules of all seeds that have failed"
+)
 KEEP = flags.DEFINE_string("keep", "soak-failures", "folder for failing runs")
 
+REGRESSIONS_FOLDER = Path(__file__).parent / "regressions"
+"""Schedules of seeds that have failed, each with its cause."""
+
 SAMPLE_SECONDS = 0.1
 CALM_SECONDS = 1.0
 """Time after the last event in which callers go on before the fleet is checked."""
@@ -202,6 +208,9 @@
     keep = Path(KEEP.value)
     if REPLAY.value:
         schedules = [Schedule.from_json(Path(REPLAY.value).read_text("utf-8"))]
+    elif REGRESSIONS.value:
+        files = sorted(REGRESSIONS_FOLDER.glob("*.json"))
+        schedules = [Schedule.from_json(file.read_text("utf-8")) for file in files]
     else:
         first = SEED.value if SEED.value is not None else int(time.time())
         schedules = [
@@ -214,7 +223,8 @@
         violations = run_schedule(schedule, MUTANT.value, CALLERS.value, keep)
         _report(schedule, violations, time.monotonic() - started)
         if MUTANT.value and _is_caught(violations):
-            print(f"mutant {MUTANT.value} is caught by seed {schedule.seed}")
+            caught = MUTANTS[MUTANT.value].promise
+            print(f"mutant {MUTANT.value}: {caught} caught it, seed {schedule.seed}")
             return
         if not violations:
             continue
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -34,6 +34,7 @@
     PEERS_SILENT = "peers_silent"
     PEERS_ONE_WAY = "peers_one_way"
     PEERS_TRICKLE = "peers_trickle"
+    PAIR_CUT = "pair_cut"
     SERVER_RESET = "server_reset"
     SERVER_SILENT = "server_silent"
     SERVER_SLOW = "server_slow"
@@ -97,12 +98,15 @@
         Duration; 0 for a change that lasts.
     host : int
         Number of the host; the zone of an evacuation is that of its host.
+    peer : int
+        Number of the other host of a cut between two; -1 for other kinds.
     """
 
     at: float
     kind: EventKind
     host: int
     seconds: float
+    peer: int = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -146,7 +150,13 @@
         document = json.loads(text)
         try:
             events = tuple(
-                Event(e["at"], EventKind(e["kind"]), e["host"], e["seconds"])
+                Event(
+                    e["at"],
+                    EventKind(e["kind"]),
+                    e["host"],
+                    e["seconds"],
+                    e.get("peer", -1),
+                )
                 for e in document["events"]
             )
             return cls(document["seed"], document["seconds"], document["hosts"], events)
@@ -180,7 +190,10 @@
             shortest, longest = DURATIONS.get(kind, DEFAULT_DURATION)
             start = at + number * SERIES_GAP_SECONDS
             length = min(source.uniform(shortest, longest), max(0.0, seconds - start))
-            events.append(Event(round(start, 2), kind, host, round(length, 2)))
+            peer = -1
+            if kind is EventKind.PAIR_CUT:
+                peer = (host + source.randrange(1, hosts)) % hosts
+            events.append(Event(round(start, 2), kind, host, round(length, 2), peer))
         at += source.expovariate(1.0 / MEAN_GAP_SECONDS)
     events.sort(key=lambda event: event.at)
     return Schedule(seed, seconds, hosts, tuple(events))
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -125,10 +125,10 @@
         sheds = "server_sheds" in self.faults and self._random.random() < SHED_SHARE
         if self.running >= SLOTS or sheds:
             return self._refuse(writer, request_id, 503)
-        arrival.ran = True
+        is_repeat = self._fleet.record.begin_run(arrival)
         self.running += 1
         try:
-            good = await self._run(head, target)
+            good = await self._run(head, target, is_repeat)
         finally:
             self.running -= 1
         return await self._answer(writer, request_id, arrival.digest, good)
@@ -140,7 +140,7 @@
         )
         return True
 
-    async def _run(self, head, target):
+    async def _run(self, head, target, is_repeat):
         seconds = self._random.uniform(*RUN_SECONDS)
         if "server_slow" in self.faults:
             seconds *= SLOW_FACTOR
@@ -148,9 +148,9 @@
         if target == CALL_PATH or self._random.random() > CALL_SHARE:
             return True
         remaining = int(field(head, "x-timeout-ms") or 0)
-        return await self._call(min(CALL_DEADLINE_MS, remaining))
+        return await self._call(min(CALL_DEADLINE_MS, remaining), is_repeat)
 
-    async def _call(self, deadline_ms):
+    async def _call(self, deadline_ms, is_repeat):
         """Make a call through the node of this host; return whether it succeeded."""
         self._calls += 1
         request_id = f"call-{self.number}-{self._starts}-{self._calls}"
@@ -166,6 +166,7 @@
                 fleet.record.now,
                 digest_of(CALL_PATH, b""),
                 is_call=True,
+                of_repeat=is_repeat,
             )
         )
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -141,10 +141,26 @@
 
     def test_hosts_out_of_contact_are_excused(self):
         self.run_records.notice("server left", 20.0, host=1, until=30.0)
-        self.run_records.notice("peers_silent", 21.0, host=0, until=22.0)
+        self.run_records.notice("store_shut", 21.0, host=0, until=22.0)
         self.run_records.request("late", at=23.0)
         self.assert_breaks()
 
+    def test_faults_of_other_hosts_and_links_excuse_nothing(self):
+        """Guards against checks that judge nothing in a run with many faults."""
+        self.run_records.notice("server left", 20.0, host=1, until=30.0)
+        self.run_records.notice("store_shut", 21.0, host=1, until=22.0)
+        self.run_records.notice("peers_silent", 21.0, host=0, until=22.0)
+        self.run_records.request("late", at=23.0)
+        self.assert_breaks("left_servers")
+
+    def test_calls_of_repeated_runs_are_repeats(self):
+        self.run_records.request("twice", at=19.0, runs=2)
+        for number in range(20):
+            self.run_records.request(f"call-{number}", at=20 + number / 10)
+            sent = self.run_records.record.sent[f"call-{number}"]
+            sent.is_call = sent.of_repeat = True
+        self.assert_breaks("bounded_retries")
+
     def test_versions(self):
         self.run_records.notice("configuration", 0.0, detail="front")
         self.run_records.notice("configuration", 20.0, detail="inner")
