--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,7 +18,7 @@
 from tests.soak.record import Record
 from tests.soak.schedule import Schedule, make_schedule
 
-__all__ = ["main", "run_schedule", "shrink"]
+__all__ = ["REGRESSIONS_FOLDER", "main", "run_schedule", "shrink"]
 
 SEEDS = flags.DEFINE_integer("seeds", 1, "number of seeds to run", lower_bound=1)
 SEED = flags.DEFINE_integer("seed", None, "first seed; the time of day if not given")
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -119,12 +119,15 @@
         Time in which events may start and last.
     hosts : int
         Number of hosts.
+    cause : str
+        Why a run of the schedule failed; empty if none has.
     """
 
     seed: int
     seconds: float
     hosts: int
     events: tuple[Event, ...]
+    cause: str = ""
 
     def without(self, position):
         """Return the schedule without one of its events."""
@@ -132,11 +135,17 @@
         return dataclasses.replace(self, events=events)
 
     def to_json(self):
-        """Return the schedule as the text of a file that a run can replay."""
+        """Return the schedule as the text of a file that a run can replay.
+
+        Each event is on a line of its own.
+        """
         document = dataclasses.asdict(self)
-        for event in document["events"]:
+        events = document.pop("events")
+        for event in events:
             event["kind"] = event["kind"].value
-        return json.dumps(document, indent=1)
+        lines = ",\n".join(f"  {json.dumps(event)}" for event in events)
+        head = json.dumps(document, indent=1).removesuffix("\n}")
+        return f'{head},\n "events": [\n{lines}\n ]\n}}\n'
 
     @classmethod
     def from_json(cls, text):
@@ -159,7 +168,8 @@
                 )
                 for e in document["events"]
             )
-            return cls(document["seed"], document["seconds"], document["hosts"], events)
+            head = [document[name] for name in ("seed", "seconds", "hosts")]
+            return cls(*head, events, document.get("cause", ""))
         except (KeyError, TypeError) as error:
             raise ValueError(f"not a saved schedule: {error!r}") from error
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 
 from tests.soak.checks import PROMISES, Bounds, check
 from tests.soak.record import Arrival, Notice, Record, Sent, Told
-from tests.soak.run import run_schedule
+from tests.soak.run import REGRESSIONS_FOLDER, run_schedule
 from tests.soak.schedule import EventKind, Schedule, make_schedule
 
 SHORT_SEED = 4
@@ -205,6 +205,13 @@
     def test_an_unreadable_schedule_is_refused(self):
         self.assertRaises(ValueError, Schedule.from_json, "{}")
 
+    def test_regression_cases_state_their_cause(self):
+        files = list(REGRESSIONS_FOLDER.glob("*.json"))
+        self.assertNotEqual([], files)
+        for file in files:
+            schedule = Schedule.from_json(file.read_text("utf-8"))
+            self.assertNotEqual("", schedule.cause, file.name)
+
     def test_all_kinds_occur(self):
         events = [e for s in range(40) for e in make_schedule(s, 30.0, 6).events]
         self.assertEqual(set(EventKind), {event.kind for event in events})
