--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -96,7 +96,7 @@
             f"Content-Length: {len(body)}\r\n\r\n".encode()
             + body
         )
-        digest = digest_of(path, body)
+        digest = digest_of(request_id, path, body)
         record.add_sent(
             Sent(
                 request_id,
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -8,9 +8,13 @@
 __all__ = ["Arrival", "Notice", "Record", "Sent", "Told", "digest_of"]
 
 
-def digest_of(path, body):
-    """Digest of a request, by which an answer is matched with it."""
-    return hashlib.sha256(path.encode() + b"\0" + body).hexdigest()[:16]
+def digest_of(request_id, path, body):
+    """Digest of a request, by which an answer is matched with it.
+
+    The id is part of it, as two requests without a body differ in nothing else.
+    """
+    parts = (request_id.encode(), path.encode(), body)
+    return hashlib.sha256(b"\0".join(parts)).hexdigest()[:16]
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -114,7 +114,7 @@
             request_id,
             field(head, "x-tenant") or "",
             self._fleet.record.now,
-            digest_of(target, body),
+            digest_of(request_id, target, body),
             ran=False,
             has_key=b"authorization" in head.lower() or b"key-" in head,
         )
@@ -164,7 +164,7 @@
                 "inner",
                 True,
                 fleet.record.now,
-                digest_of(CALL_PATH, b""),
+                digest_of(request_id, CALL_PATH, b""),
                 is_call=True,
                 of_repeat=is_repeat,
             )
