Soak: answers to calls are judged like those to callers

Change: servers record what their calls were told; answers cut midway by a stop count like those cut before; late copies last longer.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,7 +5,7 @@
 import random
 
 from tests.relay_fleet import field
-from tests.soak.record import Sent, Told, digest_of
+from tests.soak.record import Sent, Told, digest_of, read_answer
 
 __all__ = ["Caller", "Crowd"]
 
@@ -113,14 +113,7 @@
 
     async def _read_answer(self, told):
         async with asyncio.timeout(DEADLINE_SECONDS + ANSWER_MARGIN_SECONDS):
-            head = await self._reader.readuntil(b"\r\n\r\n")
-            told.status = int(head.split(b" ", 2)[1])
-            told.answer_id = field(head, "x-request-id") or ""
-            told.whole = False
-            length = int(field(head, "content-length") or 0)
-            body = await self._reader.readexactly(length)
-            told.whole = True
-            told.digest = body[:16].decode("latin-1")
+            head = await read_answer(self._reader, told)
         if (field(head, "connection") or "").lower() == "close":
             self._disconnect()
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -384,7 +384,9 @@
             continue
         for sent in checker.record.sent.values():
             told = checker.record.told.get(sent.request_id)
-            if sent.host != stop.host or told is None or told.status:
+            if sent.host != stop.host or told is None:
+                continue
+            if told.status and told.whole:
                 continue
             is_cut = stop.at <= told.at <= stop.until
             if is_cut and checker.runs.get(sent.request_id):
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -5,7 +5,11 @@
 import json
 import time
 
-__all__ = ["Arrival", "Notice", "Record", "Sent", "Told", "digest_of"]
+from tests.relay_fleet import field
+
+__all__ = ["Arrival", "Notice", "Record", "Sent", "Told", "digest_of", "read_answer"]
+
+DIGEST_LENGTH = 16
 
 
 def digest_of(request_id, path, body):
@@ -14,7 +18,7 @@
     The id is part of it, as two requests without a body differ in nothing else.
     """
     parts = (request_id.encode(), path.encode(), body)
-    return hashlib.sha256(b"\0".join(parts)).hexdigest()[:16]
+    return hashlib.sha256(b"\0".join(parts)).hexdigest()[:DIGEST_LENGTH]
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +57,18 @@
     whole: bool = True
 
 
+async def read_answer(reader, told):
+    """Read an answer into its record, as far as it comes; return its head."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    told.status = int(head.split(b" ", 2)[1])
+    told.answer_id = field(head, "x-request-id") or ""
+    told.whole = False
+    body = await reader.readexactly(int(field(head, "content-length") or 0))
+    told.whole = True
+    told.digest = body[:DIGEST_LENGTH].decode("latin-1")
+    return head
+
+
 @dataclasses.dataclass(slots=True)
 class Arrival:
     """Request at a backend server, with what the server made of it."""
@@ -109,6 +125,10 @@
     def add_told(self, told):
         self.told[told.request_id] = told
 
+    def is_call(self, request_id):
+        """Whether a backend server made a request."""
+        return self.sent[request_id].is_call
+
     def begin_run(self, arrival):
         """Record that a server runs a request; return whether it ran before."""
         arrival.ran = True
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -154,7 +154,7 @@
 
 
 def _summary(record):
-    told = record.told.values()
+    told = [one for name, one in record.told.items() if not record.is_call(name)]
     served = sum(one.status == 200 for one in told)
     runs = sum(arrival.ran for arrival in record.arrivals)
     return f"{len(told)} requests of callers, {served} served, {runs} runs"
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -71,6 +71,7 @@
     EventKind.STORE_RESTORED: (0.5, 1.5),
     EventKind.EVACUATION: (6.0, 9.0),
     EventKind.STATES_LIMIT: (5.0, 8.0),
+    EventKind.ANSWERS_LATE: (2.0, 5.0),
 }
 """Shortest and longest duration of an event, in seconds."""
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -1,14 +1,13 @@
 """Stand-in of a backend server with the faults that a schedule asks for."""
 
 import asyncio
-import contextlib
 import random
 import re
 import time
 
 from tests.relay_fleet import field
 from tests.soak.proxy import reset_connection
-from tests.soak.record import Arrival, Sent, digest_of
+from tests.soak.record import Arrival, Sent, Told, digest_of, read_answer
 
 __all__ = ["CALL_PATH", "Backend"]
 
@@ -169,7 +168,8 @@
                 of_repeat=is_repeat,
             )
         )
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+        told = Told(request_id, 0, 0.0)
+        try:
             async with asyncio.timeout(deadline_ms / 1000):
                 reader, writer = await asyncio.open_connection(
                     self._host.ip, fleet.callers_port
@@ -180,11 +180,17 @@
                         f"X-Request-Id: {request_id}\r\n"
                         f"X-Timeout-Ms: {deadline_ms}\r\n\r\n".encode()
                     )
-                    line = await reader.readline()
-                    return line.split(b" ")[1:2] == [b"200"]
+                    await read_answer(reader, told)
                 finally:
                     writer.close()
-        return False
+        except TimeoutError:
+            # The server has given up, so it is told nothing.
+            return False
+        except (OSError, asyncio.IncompleteReadError):
+            told.status = 0
+        told.at = fleet.record.now
+        fleet.record.add_told(told)
+        return told.status == 200
 
     def _stated(self):
         fields = b""
