Soak: a host is in contact after the time of a bound; evacuations are not cut short

Change: a host that could read the store for the bound, and three seconds at least, is in contact. Evacuations last 8 to 11 s and begin early enough to last.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -99,15 +99,21 @@
 
     def is_steady(self, host, at):
         """Whether a host's node has run for the stable window."""
-        return self._are_over(self._node_faults[host], at, at)
+        return self._are_over(
+            self._node_faults[host], at - self.bounds.stable_window, at
+        )
+
+    def in_contact(self, sent, bound, until):
+        """Whether the node at which a request was sent knows what is known in time.
 
-    def in_contact(self, host, since, until):
-        """Whether a host's node could read the store in a span of time."""
-        faults = self._contact_faults[host] + self._store_faults
-        return self._are_over(faults, since, until)
+        It could read the store for the time of a bound before the request, and for the
+        stable window at least, until a time.
+        """
+        faults = self._contact_faults[sent.host] + self._store_faults
+        start = sent.at - max(bound, self.bounds.stable_window)
+        return self._are_over(faults, start, until)
 
-    def _are_over(self, faults, since, until):
-        start = since - self.bounds.stable_window
+    def _are_over(self, faults, start, until):
         spans = self._settled((notice.at, notice.until) for notice in faults)
         return not any(begins < until and ends > start for begins, ends in spans)
 
@@ -291,8 +297,7 @@
             if sent is None or arrival.misdirected:
                 continue
             late = since < sent.at and arrival.at < notice.until - 0.5
-            told = max(notice.at, sent.at - checker.bounds.drain)
-            if late and checker.in_contact(sent.host, told, arrival.at):
+            if late and checker.in_contact(sent, checker.bounds.drain, arrival.at):
                 yield arrival.at, f"{sent.request_id} at leaving server {notice.host}"
 
 
@@ -306,8 +311,8 @@
             if host.zone != notice.detail or sent is None or arrival.misdirected:
                 continue
             late = since < sent.at and arrival.at < notice.until
-            told = max(notice.at, sent.at - checker.bounds.evacuation)
-            if late and checker.in_contact(sent.host, told, arrival.at):
+            bound = checker.bounds.evacuation
+            if late and checker.in_contact(sent, bound, arrival.at):
                 yield arrival.at, f"{sent.request_id} in evacuated zone {host.zone}"
 
 
@@ -319,8 +324,8 @@
         oldest = _newest_version(versions, sent.at - bounds.config_apply)
         newest = _newest_version(versions, run.at)
         allowed = {service for _, service in versions[oldest : newest + 1]}
-        told = sent.at - bounds.config_apply
-        if run.service not in allowed and checker.in_contact(sent.host, told, run.at):
+        in_contact = checker.in_contact(sent, bounds.config_apply, run.at)
+        if run.service not in allowed and in_contact:
             yield run.at, f"{sent.request_id} ran at {run.service}, of an old version"
 
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -69,12 +69,15 @@
     EventKind.KEY_WITHDRAWN: (0.0, 0.0),
     EventKind.HISTORY_LOST: (0.0, 0.0),
     EventKind.STORE_RESTORED: (0.5, 1.5),
-    EventKind.EVACUATION: (6.0, 9.0),
+    EventKind.EVACUATION: (8.0, 11.0),
     EventKind.STATES_LIMIT: (5.0, 8.0),
     EventKind.ANSWERS_LATE: (2.0, 5.0),
 }
 """Shortest and longest duration of an event, in seconds."""
 
+WITH_BOUND = frozenset({EventKind.EVACUATION, EventKind.STATES_LIMIT})
+"""Kinds that are judged after the time of a bound, and so are not cut short."""
+
 DEFAULT_DURATION = (0.8, 4.0)
 
 NEVER_IN_SERIES = frozenset(
@@ -214,6 +217,8 @@
         for number, host in enumerate(source.sample(range(hosts), min(count, hosts))):
             shortest, longest = DURATIONS.get(kind, DEFAULT_DURATION)
             start = at + number * SERIES_GAP_SECONDS
+            if kind in WITH_BOUND:
+                start = min(start, max(WARM_UP_SECONDS, seconds - longest))
             length = min(source.uniform(shortest, longest), max(0.0, seconds - start))
             peer = -1
             if kind is EventKind.PAIR_CUT:
