Soak: servers that announce that they are leaving restart; one that takes it back

The product keeps an announcement until the server starts again, and its design note lists this as not done. No check judged announcements. Change: a server that announces it leaves and starts again; taking an announcement back is an event of its own, at one server at a time. A check and a planted fault for announcements.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,6 +19,15 @@
 """Events of a host that separate its node from the store. Cuts between hosts and
 faults of servers and callers do not: the node must still read the store in time."""
 
+ANSWER_FAULTS = NODE_FAULTS | {
+    "terminate",
+    "server_silent",
+    "server_reset",
+    "answers_cut",
+    "answers_endless",
+}
+"""Events after which a node may not know what its server has announced."""
+
 STORE_FAULTS = frozenset({"store_silent", "store_busy", "store_restored"})
 
 
@@ -301,6 +310,26 @@
                 yield arrival.at, f"{sent.request_id} at leaving server {notice.host}"
 
 
+def announced_leaving(checker):
+    """A server that announces in an answer that it is leaving gets nothing new."""
+    for notice in checker.record.of("said leaving"):
+        since = notice.at + checker.bounds.drain
+        unheard = [
+            other.at
+            for other in checker.record.notices
+            if other.host == notice.host
+            and other.what in ANSWER_FAULTS
+            and other.until > notice.at
+        ]
+        until = min([notice.until, *unheard])
+        for arrival in checker.by_server[notice.host]:
+            sent = checker.record.sent.get(arrival.request_id)
+            if sent is None or arrival.misdirected:
+                continue
+            if since < sent.at and arrival.at < until:
+                yield arrival.at, f"{sent.request_id} at server {notice.host}"
+
+
 def evacuated_zones(checker):
     """An evacuated zone gets nothing after the bound until it is taken back."""
     for notice in checker.record.of("zone evacuated"):
@@ -458,6 +487,7 @@
         cold_servers,
         stated_limits,
         left_servers,
+        announced_leaving,
         evacuated_zones,
         configuration_in_force,
         no_regression,
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -251,6 +251,12 @@
     Watcher._read = _read
 
 
+def _ignore_announcements():
+    from damaskramp.fleet.announcements import LeavingAnnouncements
+
+    LeavingAnnouncements.holds = lambda self, server, started: False
+
+
 MUTANTS = {
     "repeats": Mutant("at_most_once", _repeat_everything),
     "false_refusals": Mutant("true_refusals", _promise_not_run),
@@ -263,6 +269,7 @@
     "cuts_at_stops": Mutant("planned_stops", _ignore_stops),
     "ignores_evacuations": Mutant("evacuated_zones", _ignore_evacuations),
     "ignores_leaving": Mutant("left_servers", _ignore_leaving_servers),
+    "ignores_announcements": Mutant("announced_leaving", _ignore_announcements),
     "keeps_configuration": Mutant("configuration_in_force", _never_read_again),
     "keeps_bodies": Mutant("bounded_memory", _keep_every_body),
     "leaks_descriptors": Mutant("bounded_memory", _leak_descriptors),
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -47,6 +47,7 @@
     ANSWERS_ENDLESS = "answers_endless"
     STATES_LIMIT = "states_limit"
     STATES_LEAVING = "states_leaving"
+    LEAVING_TAKEN_BACK = "leaving_taken_back"
     DRAINS = "drains"
     STORE_SILENT = "store_silent"
     STORE_BUSY = "store_busy"
@@ -87,6 +88,7 @@
         EventKind.STORE_SILENT,
         EventKind.STORE_BUSY,
         EventKind.EVACUATION,
+        EventKind.LEAVING_TAKEN_BACK,
     }
 )
 
