Soak: a server that one event has restarted is not restarted by another

Change: a start does nothing at a server that is up; notices of leaving end with the start that they are about.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Effect of the events of a schedule on the fleet."""
 
 import asyncio
+import contextlib
 import dataclasses
 import signal
 
@@ -81,7 +82,7 @@
             await asyncio.sleep(event.seconds)
             host.backend.faults.discard(event.kind.value)
             if event.kind is EventKind.LEAVING_TAKEN_BACK:
-                host.backend.end_announcement()
+                host.backend.end_notice("said leaving")
         elif event.kind in CROWDS:
             crowd = Crowd(fleet, host, event.kind.value)
             host.crowds.append(crowd)
@@ -180,14 +181,14 @@
             return
         host.backend.is_leaving = True
         self._fleet.list_servers()
-        left = self._fleet.record.add_notice("server left", host.number)
+        host.backend.open_notice("server left")
         await asyncio.sleep(max(event.seconds, self._fleet.drain_seconds))
         host.backend.crash()
-        self._fleet.store.delete(f"servers/{host.backend.id}")
+        with contextlib.suppress(KeyError):
+            self._fleet.store.delete(f"servers/{host.backend.id}")
         await asyncio.sleep(1.0)
         await host.backend.start()
         self._fleet.list_servers()
-        left.until = self._fleet.record.now
 
     async def _store_silent(self, event, host):
         self._fleet.store.silent = True
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -48,7 +48,8 @@
         self._server = None
         self._calls = 0
         self._starts = 0
-        self._announcement = None
+        self._notices = {}
+        self._start_lock = asyncio.Lock()
         self.number = number
         self.faults = set()
         self.running = 0
@@ -63,7 +64,12 @@
         return self._server is not None
 
     async def start(self):
-        """Begin a new lifetime, under the same id."""
+        """Begin a new lifetime, under the same id, unless another event has."""
+        async with self._start_lock:
+            if not self.is_up:
+                await self._start()
+
+    async def _start(self):
         self._starts += 1
         self.id = f"i-{self.number}"
         self.born = int(time.time() * 1000)
@@ -81,15 +87,21 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        self.end_announcement()
+        for what in list(self._notices):
+            self.end_notice(what)
         for writer in list(self._writers):
             reset_connection(writer)
 
-    def end_announcement(self):
-        """Record that the server's announcement of leaving no longer holds."""
-        if self._announcement is not None:
-            self._announcement.until = self._fleet.record.now
-            self._announcement = None
+    def open_notice(self, what):
+        """Record that something holds until the server starts again."""
+        if what not in self._notices:
+            self._notices[what] = self._fleet.record.add_notice(what, self.number)
+
+    def end_notice(self, what):
+        """Record that it no longer holds."""
+        notice = self._notices.pop(what, None)
+        if notice is not None:
+            notice.until = self._fleet.record.now
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -208,9 +220,7 @@
             fields += b"Server-Limit: %.1f\r\n" % STATED_LIMIT
         if self.faults & LEAVING_FAULTS:
             fields += b"Server-Leaving: 1\r\n"
-            if self._announcement is None:
-                record = self._fleet.record
-                self._announcement = record.add_notice("said leaving", self.number)
+            self.open_notice("said leaving")
         return fields
 
     async def _answer(self, writer, request_id, digest, good):
