--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -78,9 +78,13 @@
             await asyncio.sleep(event.seconds)
             host.peers_proxy.set_mode(LinkMode.PASS)
         elif event.kind in SERVER_FAULTS:
-            host.backend.faults.add(event.kind.value)
+            of_service = event.kind is EventKind.SERVER_SHEDS
+            hosts = fleet.hosts_of(host.service) if of_service else [host]
+            for one in hosts:
+                one.backend.faults.add(event.kind.value)
             await asyncio.sleep(event.seconds)
-            host.backend.faults.discard(event.kind.value)
+            for one in hosts:
+                one.backend.faults.discard(event.kind.value)
             if event.kind is EventKind.LEAVING_TAKEN_BACK:
                 host.backend.end_notice("said leaving")
         elif event.kind in CROWDS:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -237,6 +237,10 @@
         services = ["front"] * half + ["inner"] * (hosts - half)
         self.hosts = [Host(self, n, service) for n, service in enumerate(services)]
 
+    def hosts_of(self, service):
+        """Hosts with the servers of a service."""
+        return [host for host in self.hosts if host.service == service]
+
     def team_rates(self):
         """Rate and burst of each team."""
         return TEAMS
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -73,11 +73,24 @@
     EventKind.EVACUATION: (8.0, 11.0),
     EventKind.STATES_LIMIT: (5.0, 8.0),
     EventKind.ANSWERS_LATE: (2.0, 5.0),
+    EventKind.SERVER_SHEDS: (5.0, 8.0),
+    EventKind.DRAINS: (4.0, 7.0),
+    EventKind.STATES_LEAVING: (4.0, 7.0),
+    EventKind.LEAVING_TAKEN_BACK: (4.0, 7.0),
 }
 """Shortest and longest duration of an event, in seconds."""
 
-WITH_BOUND = frozenset({EventKind.EVACUATION, EventKind.STATES_LIMIT})
-"""Kinds that are judged after the time of a bound, and so are not cut short."""
+LATEST_SECONDS = {
+    EventKind.EVACUATION: 11.0,
+    EventKind.STATES_LIMIT: 8.0,
+    EventKind.SERVER_SHEDS: 8.0,
+    EventKind.DRAINS: 7.0,
+    EventKind.STATES_LEAVING: 7.0,
+    EventKind.LEAVING_TAKEN_BACK: 7.0,
+    EventKind.KEY_WITHDRAWN: 9.0,
+}
+"""Shortest time, in seconds, from the start of an event to the end of the run, of kinds
+that are judged after the time of a bound."""
 
 DEFAULT_DURATION = (0.8, 4.0)
 
@@ -89,6 +102,7 @@
         EventKind.STORE_BUSY,
         EventKind.EVACUATION,
         EventKind.LEAVING_TAKEN_BACK,
+        EventKind.SERVER_SHEDS,
     }
 )
 
@@ -104,7 +118,8 @@
     seconds : float
         Duration; 0 for a change that lasts.
     host : int
-        Number of the host; the zone of an evacuation is that of its host.
+        Number of the host. An evacuation is one of its zone, and requests are shed by
+        all servers of its service.
     peer : int
         Number of the other host of a cut between two; -1 for other kinds.
     """
@@ -219,8 +234,8 @@
         for number, host in enumerate(source.sample(range(hosts), min(count, hosts))):
             shortest, longest = DURATIONS.get(kind, DEFAULT_DURATION)
             start = at + number * SERIES_GAP_SECONDS
-            if kind in WITH_BOUND:
-                start = min(start, max(WARM_UP_SECONDS, seconds - longest))
+            latest = max(WARM_UP_SECONDS, seconds - LATEST_SECONDS.get(kind, 0.0))
+            start = min(start, latest)
             length = min(source.uniform(shortest, longest), max(0.0, seconds - start))
             peer = -1
             if kind is EventKind.PAIR_CUT:
