Callers: nothing runs behind an answer that closes the connection

Requests that come in one piece with one that is answered at once (401, 400) were begun by the parser's same step after that answer had closed the connection: they ran, also non-idempotent ones, and could not be answered ('Cannot call write() after write_eof()'). Change: a request that is read while the connection closes is dropped, and none that waits is begun. RFC 9112, 9.6: the caller knows that these have not run.

--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -211,8 +211,12 @@
         return True
 
     def receive_request(self, request: CallerRequest) -> None:
-        """Hand the request on, or queue it behind the one before it."""
-        if self._rejected or not self._open:
+        """Hand the request on, or queue it behind the one before it.
+
+        A request that came in one piece with one that is answered at once may be read
+        after the connection has begun to close. It never runs.
+        """
+        if self._rejected or self._closing or not self._open:
             self._release(request)
             return
         # A request never overtakes one that waits for its turn.
@@ -324,7 +328,9 @@
             self._transport.abort()
 
     def _begin_next(self) -> None:
-        if self._current is None and self._pipelined and not self._answers.stalled:
+        if self._closing or self._answers.stalled:
+            return
+        if self._current is None and self._pipelined:
             request = self._pipelined.popleft()
             self.update_reading()
             self._begin(request)
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -135,6 +135,28 @@
 
         self.assertEqual([f"q{n}" for n in range(12)], self.run_scenario(scenario))
 
+    def test_nothing_runs_after_an_answer_that_closes_the_connection(self):
+        """Guards against requests that run although they can't be answered any more.
+
+        The first request is answered while the parser still has the others to read.
+        """
+
+        async def scenario(fleet):
+            reader, writer = await fleet.connect()
+            head = b"GET /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q%d\r\n"
+            bad = head % 0 + b"Host: b.example\r\n\r\n"
+            good = head % 1 + b"Authorization: Token key-1\r\n\r\n"
+            writer.write(bad + good)
+            status, head, _ = await read_answer(reader)
+            rest = await reader.read()
+            # A request that runs is not abandoned by its caller.
+            await asyncio.sleep(0.3)
+            writer.close()
+            ids = [field(seen, "x-request-id") for seen in fleet.servers[0].seen]
+            return status, field(head, "connection"), rest, ids
+
+        self.assertEqual((400, "close", b"", []), self.run_scenario(scenario))
+
     def test_without_teams_requests_need_no_key(self):
         async def scenario(fleet):
             status = (await fleet.ask("/a", key=""))[0]
--- a/tests/test_relay_stops.py
+++ b/tests/test_relay_stops.py
@@ -136,6 +136,35 @@
         got = self.run_scenario(scenario, ("svc", "svc"))
         self.assertEqual(([200] * 3, [None, None, "close"]), got)
 
+    def test_nothing_runs_behind_a_refusal_that_closes_the_connection(self):
+        """Guards against requests that a stop cuts after they have run.
+
+        Requests that come in one piece with one that is refused at once, soak seed 410.
+        """
+
+        async def scenario(fleet):
+            stopping = asyncio.ensure_future(fleet.nodes[0].stop())
+            listener = fleet.nodes[0]._listener
+            await fleet.until(lambda: listener.closing)
+            reader, writer = await fleet.connect()
+            request = (
+                b"GET /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q%d\r\n"
+                b"Authorization: Token %b\r\n\r\n"
+            )
+            writer.write(request % (0, b"unknown") + request % (1, b"key-1"))
+            status, head, _ = await read_answer(reader)
+            rest = await reader.read()
+            # A request that runs is not abandoned by its caller.
+            await asyncio.sleep(0.3)
+            writer.close()
+            await stopping
+            ids = [field(seen, "x-request-id") for seen in fleet.servers[1].seen]
+            return status, field(head, "connection"), rest, ids
+
+        # The own server takes nothing any more, so requests run at the other one.
+        got = self.run_scenario(scenario, ("svc", "svc"))
+        self.assertEqual((401, "close", b"", []), got)
+
     def test_late_request_is_refused_unrun_rather_than_cut_at_the_end(self):
         async def very_slow(request):
             await asyncio.sleep(2.6)
