--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -215,14 +215,15 @@
         copy = next((c for at, c in reversed(self._copies) if at <= limit), None)
         if copy is None:
             return
+        fleet.store.refusal_status = 503
+        await asyncio.sleep(event.seconds)
+        # What was written while the store refused to be read is lost as well.
         lost = {
             key: item
             for key, item in fleet.store.items.items()
             if copy[0].get(key) != item
         }
         removed = [key for key in copy[0] if key not in fleet.store.items]
-        fleet.store.refusal_status = 503
-        await asyncio.sleep(event.seconds)
         fleet.store.restore(copy)
         fleet.store.refusal_status = 0
         # What the operator and the servers had written since is written again.
