--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -25,20 +25,31 @@
         self.plant = plant
 
 
+def _replace(owner, name, value):
+    """Replace an attribute; refuse one that the program no longer has."""
+    if not hasattr(owner, name):
+        raise AttributeError(f"{owner.__name__} has no {name}")
+    setattr(owner, name, value)
+
+
 def _repeat_everything():
     from damaskramp.dispatch.attempts import Attempts
 
     def may_repeat(self, now):
         return self.arrivals < 4 and not self._is_late(now)
 
-    Attempts.may_repeat = may_repeat
+    _replace(Attempts, "may_repeat", may_repeat)
 
 
 def _promise_not_run():
     from damaskramp.core import Outcome, Reason
     from damaskramp.dispatch.attempts import Attempts
 
-    Attempts.final_outcome = lambda self, reason: (Reason.OVERLOADED, Outcome.NOT_RUN)
+    _replace(
+        Attempts,
+        "final_outcome",
+        lambda self, reason: (Reason.OVERLOADED, Outcome.NOT_RUN),
+    )
 
 
 def _keep_withdrawn_keys():
@@ -54,7 +65,7 @@
             self._digests = {holder.digest for holder in self._keys.values()}
         return adopted
 
-    FleetView.adopt_configuration = adopt_configuration
+    _replace(FleetView, "adopt_configuration", adopt_configuration)
 
 
 def _pass_on_keys():
@@ -68,26 +79,26 @@
         field = b"%b: %b" % (headers.names.key, request.key)
         self._head = b"\r\n".join((line, field, rest))
 
-    OutgoingRequest.__init__ = __init__
+    _replace(OutgoingRequest, "__init__", __init__)
 
 
 def _admit_every_team():
     from damaskramp.relay.permits import Permits
 
-    Permits.admit = lambda self, team, done: done(True)
+    _replace(Permits, "admit", lambda self, team, done: done(True))
 
 
 def _fill_cold_servers():
     from damaskramp.dispatch.cold_server import ColdServer
 
-    ColdServer.may_start = lambda self, now: True
-    ColdServer.rate = lambda self, now: None
+    _replace(ColdServer, "may_start", lambda self, now: True)
+    _replace(ColdServer, "rate", lambda self, now: None)
 
 
 def _accept_late_answers():
     from damaskramp.relay.server_connection import ServerConnection
 
-    ServerConnection._is_own_answer = lambda self: True
+    _replace(ServerConnection, "_is_own_answer", lambda self: True)
 
 
 def _forget_the_team():
@@ -108,19 +119,19 @@
         await self.abort()
         return True
 
-    RelayNode.stop = stop
+    _replace(RelayNode, "stop", stop)
 
 
 def _ignore_evacuations():
     from damaskramp.fleet.evacuations import Evacuations
 
-    Evacuations.zones = property(lambda self: frozenset())
+    _replace(Evacuations, "zones", property(lambda self: frozenset()))
 
 
 def _ignore_leaving_servers():
     from damaskramp.platform import decode
 
-    decode.LEAVING_BY_STATE = {"ready": False, "draining": False}
+    _replace(decode, "LEAVING_BY_STATE", {"ready": False, "draining": False})
 
 
 def _never_read_again():
@@ -131,7 +142,7 @@
     def adopt_configuration(self, configuration):
         return self.configuration is None and original(self, configuration)
 
-    FleetView.adopt_configuration = adopt_configuration
+    _replace(FleetView, "adopt_configuration", adopt_configuration)
 
 
 def _keep_every_body():
@@ -141,7 +152,7 @@
         self.reserve_unchecked(size)
         return True
 
-    BodyMemory.reserve = reserve
+    _replace(BodyMemory, "reserve", reserve)
 
 
 def _leak_descriptors():
@@ -155,7 +166,7 @@
         os.dup(0)
         original(self, request)
 
-    CallerConnection.receive_request = receive_request
+    _replace(CallerConnection, "receive_request", receive_request)
 
 
 def _reorder_answers():
@@ -167,7 +178,7 @@
         self._pipelined.reverse()
         original(self)
 
-    CallerConnection._begin_next = _begin_next
+    _replace(CallerConnection, "_begin_next", _begin_next)
 
 
 def _cut_bodies():
@@ -179,7 +190,7 @@
         request.body = request.body[:1000]
         original(self, request, headers, team)
 
-    OutgoingRequest.__init__ = __init__
+    _replace(OutgoingRequest, "__init__", __init__)
 
 
 def _spend_without_budget():
@@ -188,13 +199,13 @@
     def decide(self, service, now, depth, rank):
         return SpendDecision.ALLOWED
 
-    RetryBudget.decide = decide
+    _replace(RetryBudget, "decide", decide)
 
 
 def _ignore_stated_limits():
     from damaskramp.dispatch.server_rate import ServerRate
 
-    ServerRate._state_limit = lambda self, limit, now: None
+    _replace(ServerRate, "_state_limit", lambda self, limit, now: None)
 
 
 def _return_to_older_configuration():
@@ -217,7 +228,7 @@
             asyncio.get_running_loop().call_later(1.0, go_back, self, before)
         return adopted
 
-    FleetView.adopt_configuration = adopt_configuration
+    _replace(FleetView, "adopt_configuration", adopt_configuration)
 
 
 def _never_stop():
@@ -225,7 +236,7 @@
 
     from damaskramp.relay.node import RelayNode
 
-    RelayNode.stop = lambda self: asyncio.sleep(3600)
+    _replace(RelayNode, "stop", lambda self: asyncio.sleep(3600))
 
 
 def _end_with_a_link():
@@ -240,7 +251,7 @@
             os._exit(1)
         original(self, error)
 
-    PeerLink.connection_lost = connection_lost
+    _replace(PeerLink, "connection_lost", connection_lost)
 
 
 def _never_trust_again():
@@ -255,13 +266,13 @@
             FleetView.keys_usable = False
         return is_read
 
-    Watcher._read = _read
+    _replace(Watcher, "_read", _read)
 
 
 def _ignore_announcements():
     from damaskramp.fleet.announcements import LeavingAnnouncements
 
-    LeavingAnnouncements.holds = lambda self, server, started: False
+    _replace(LeavingAnnouncements, "holds", lambda self, server, started: False)
 
 
 MUTANTS = {
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,15 @@
 """Short seeded run of the fault soak, and tests of its checks."""
 
 import dataclasses
+import subprocess
+import sys
 import types
 
 from testtools import TestCase
 
 from tests.soak.checks import PROMISES, Bounds, check
+from tests.soak.fleet import ROOT
+from tests.soak.mutants import MUTANTS
 from tests.soak.record import Arrival, Notice, Record, Sent, Told
 from tests.soak.run import REGRESSIONS_FOLDER, run_schedule
 from tests.soak.schedule import EventKind, Schedule, make_schedule
@@ -203,6 +207,17 @@
         self.assertEqual(22, len(PROMISES))
 
 
+class TestMutants(TestCase):
+    def test_planted_faults_replace_what_the_program_has(self):
+        """Guards against planted faults that a change of the program has disarmed."""
+        code = "from tests.soak.mutants import MUTANTS\n"
+        code += "for mutant in MUTANTS.values():\n    mutant.plant()"
+        subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=True)
+
+    def test_planted_faults_break_known_promises(self):
+        self.assertEqual(set(PROMISES), {m.promise for m in MUTANTS.values()})
+
+
 class TestSchedules(TestCase):
     def test_a_seed_gives_the_same_schedule_again(self):
         first = make_schedule(7, 30.0, 6)
