--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Short seeded run of the fault soak, and tests of its checks."""
 
+import asyncio
 import dataclasses
 import subprocess
 import sys
@@ -7,9 +8,11 @@
 
 from testtools import TestCase
 
+from tests.relay_fleet import NETWORK, WORKER
 from tests.soak.checks import PROMISES, Bounds, check
 from tests.soak.fleet import ROOT
 from tests.soak.mutants import MUTANTS
+from tests.soak.proxy import Proxy
 from tests.soak.record import Arrival, Notice, Record, Sent, Told
 from tests.soak.run import REGRESSIONS_FOLDER, run_schedule
 from tests.soak.schedule import EventKind, Schedule, make_schedule
@@ -218,6 +221,46 @@
         self.assertEqual(set(PROMISES), {m.promise for m in MUTANTS.values()})
 
 
+class TestProxy(TestCase):
+    def test_a_cut_silences_the_chosen_clients_only(self):
+        """Guards against cuts between two hosts that cut all, or none."""
+        address = f"127.{NETWORK + WORKER}.251.1"
+
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data)
+            writer.close()
+
+        async def answers(connection):
+            reader, writer = connection
+            writer.write(b"x")
+            try:
+                return await asyncio.wait_for(reader.read(1), 0.5) == b"x"
+            except TimeoutError:
+                return False
+
+        async def scenario():
+            target = await asyncio.start_server(echo, address, 8297)
+            proxy = Proxy((address, 8298), (address, 8297))
+            await proxy.start()
+            first = await asyncio.open_connection(address, 8298)
+            second = await asyncio.open_connection(address, 8298)
+            found = [await answers(first), await answers(second)]
+            port = first[1].get_extra_info("sockname")[1]
+            proxy.set_cut(lambda ports: ports & {port})
+            found += [await answers(first), await answers(second)]
+            proxy.set_cut(None)
+            # What was sent during the cut arrives now, so the link has lost nothing.
+            found += [await answers(first), await answers(second)]
+            for _, writer in (first, second):
+                writer.close()
+            proxy.stop()
+            target.close()
+            return found
+
+        self.assertEqual([True, True, False, True, True, True], asyncio.run(scenario()))
+
+
 class TestSchedules(TestCase):
     def test_a_seed_gives_the_same_schedule_again(self):
         first = make_schedule(7, 30.0, 6)
