--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -118,7 +118,8 @@
             far_reader, far_writer = await asyncio.open_connection(
                 *self._target, limit=CHUNK_BYTES
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # The target refuses, or the run ends.
             self._writers.pop(writer, None)
             reset_connection(writer)
             return
