--- a/damaskramp/dispatch/expected_finish.py
+++ b/damaskramp/dispatch/expected_finish.py
@@ -13,10 +13,11 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from damaskramp.core.ids import ZoneName
+from damaskramp.dispatch.kind_times import KindTimes
 from damaskramp.dispatch.load import Load
 from damaskramp.fleet.model import BackendServer, ServerId
 
@@ -26,9 +27,6 @@
 """Run time in seconds that is assumed for a kind that no server has run; it is short,
 so that new servers receive requests soon."""
 
-MAX_KINDS = 256
-"""Most kinds of requests whose run times are kept for one server and for the fleet."""
-
 
 @dataclass(frozen=True, slots=True)
 class FinishSettings:
@@ -117,7 +115,7 @@
         self.mean_load = 0.0
         self.pace = 0.0
         self.stated_at = 0.0
-        self.run_times: dict[str, float] = {}
+        self.run_times = KindTimes(weight=1.0)
         self.queue_waits: dict[int, tuple[float, float]] = {}
 
 
@@ -130,6 +128,11 @@
         Availability zone of this host.
     round_trip : callable
         Returns the seconds of the way to a zone and back; 0 if not known.
+
+    Attributes
+    ----------
+    has_records : bool
+        Whether a server has stated its pace; read for every request.
     """
 
     def __init__(
@@ -144,12 +147,11 @@
         self._random = random_source
         self._round_trip = round_trip
         self._records: dict[ServerId, _CapabilityRecord] = {}
-        self._run_times: dict[str, float] = {}
+        self._run_times = KindTimes(settings.run_weight)
+        self.has_records = False
 
-    def is_informed(self, servers: Collection[BackendServer], now: float) -> bool:
+    def is_informed(self, servers: Iterable[BackendServer], now: float) -> bool:
         """Whether one of some servers has stated its pace lately."""
-        if not self._records:
-            return False
         oldest = now - self._settings.fade_seconds
         return any(
             record is not None and record.pace > 0.0 and record.stated_at > oldest
@@ -164,27 +166,21 @@
             return
         record = self._records.get(server.id)
         if record is None:
-            record = self._records[server.id] = _CapabilityRecord()
+            record = self._add_record(server.id)
         record.pace, record.stated_at = load.pace, now
         in_use = (load.running + load.waiting) / max(1, load.limit)
         weight = self._settings.load_weight
         record.mean_load += weight * (in_use - record.mean_load)
         record.queue_waits[rank] = (load.queue_wait, now)
         if load.run_time > 0.0:
-            if len(record.run_times) >= MAX_KINDS:
-                record.run_times.clear()
-            if len(self._run_times) >= MAX_KINDS:
-                self._run_times.clear()
-            record.run_times[kind] = load.run_time
-            mean = self._run_times.get(kind, load.run_time)
-            mean += self._settings.run_weight * (load.run_time - mean)
-            self._run_times[kind] = mean
+            record.run_times.record(kind, load.run_time)
+            self._run_times.record(kind, load.run_time)
 
     def record_pace(self, server: ServerId, pace: float, stated_at: float) -> None:
         """Record a pace that another host has told."""
         record = self._records.get(server)
         if record is None:
-            record = self._records[server] = _CapabilityRecord()
+            record = self._add_record(server)
         if stated_at > record.stated_at:
             record.pace, record.stated_at = pace, stated_at
 
@@ -192,6 +188,7 @@
         """Drop the records of other servers."""
         for name in [name for name in self._records if name not in known]:
             del self._records[name]
+        self.has_records = bool(self._records)
 
     def choose(
         self,
@@ -230,6 +227,11 @@
         least_gain += settings.target_share * max(0.0, to_target)
         return best_far[1] if gain > least_gain else best_near[1]
 
+    def _add_record(self, server: ServerId) -> _CapabilityRecord:
+        record = self._records[server] = _CapabilityRecord()
+        self.has_records = True
+        return record
+
     def _best(
         self,
         servers: Sequence[BackendServer],
--- a/damaskramp/fleet/tests/test_directory.py
+++ b/damaskramp/fleet/tests/test_directory.py
@@ -13,6 +13,7 @@
     Removal,
     StorePosition,
 )
+from damaskramp.fleet.host_list import HOST_RETENTION_SECONDS
 
 
 def server(name, revision, leaving=False, address="10.0.0.1:80", started=0):
@@ -99,6 +100,60 @@
         clock.now = 21.0
         self.assertEqual([], directory.hosts())
 
+    def test_hosts_are_the_same_object_until_a_host_changes(self):
+        # What follows from the list, as the readers of a zone and the shares of teams,
+        # would be computed again for each description that is written again.
+        clock = Clock()
+        directory = Directory(clock)
+        directory.merge([server("a", 1, address="10.0.0.2:80")])
+        hosts = directory.hosts()
+        clock.now = 30.0
+        directory.merge([server("a", 2, address="10.0.0.2:80", leaving=True)])
+        self.assertIs(hosts, directory.hosts())
+        directory.merge([], [Removal("a", 3)])
+        clock.now = 40.0
+        directory.merge([server("b", 4, address="10.0.0.2:81")])
+        self.assertIs(hosts, directory.hosts())
+        clock.now = 70.0
+        self.assertIs(hosts, directory.hosts())
+
+    def test_cached_hosts_agree_with_the_servers_through_all_changes(self):
+        for seed in range(40):
+            source = random.Random(seed)
+            clock = Clock()
+            directory = Directory(clock)
+            left = {}
+            for revision in range(1, 120):
+                clock.now += source.choice((0.125, 1.0, 6.0))
+                before = {one.host for one in directory.servers}
+                name = f"i{source.randrange(6)}"
+                if source.random() < 0.6:
+                    host = f"10.0.0.{source.randrange(6)}"
+                    directory.merge([server(name, revision, address=f"{host}:80")])
+                else:
+                    directory.merge([], [Removal(name, revision)])
+                listed = {one.host for one in directory.servers}
+                left |= dict.fromkeys(before - listed, clock.now)
+                retained = {
+                    host
+                    for host, left_at in left.items()
+                    if clock.now - left_at <= HOST_RETENTION_SECONDS
+                }
+                if source.random() < 0.7:
+                    got = [host for host, _ in directory.hosts()]
+                    self.assertEqual(sorted(listed | retained), got)
+
+    def test_host_is_retained_after_its_server_moves(self):
+        clock = Clock()
+        directory = Directory(clock)
+        directory.merge([server("a", 1, address="10.0.0.2:80")])
+        clock.now = 50.0
+        directory.merge([server("a", 2, address="10.0.0.3:80")])
+        clock.now = 69.0
+        self.assertEqual([("10.0.0.2", "a"), ("10.0.0.3", "a")], directory.hosts())
+        clock.now = 71.0
+        self.assertEqual([("10.0.0.3", "a")], directory.hosts())
+
 
 class TestFreshness(TestCase):
     def test_delayed_peer_answer_never_lowers_the_age(self):
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -12,13 +12,14 @@
 
 from damaskramp.core import Counters, Reason
 from damaskramp.dispatch import Load
+from damaskramp.http import discard_on_close
 from damaskramp.relay.body_source import BytesBody
 from damaskramp.relay.body_transfer import BodySender
 from damaskramp.relay.incoming_answer import IncomingAnswers
 from damaskramp.relay.link_health import LinkHealth
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.message_stream import SILENCE_TIMEOUT_SECONDS, MessageStream
-from damaskramp.relay.messages import FRAGMENT_BYTES, REASONS, Call, Kind
+from damaskramp.relay.messages import FRAGMENT_BYTES, REASONS, Call, Kind, pack_call
 from damaskramp.relay.outcome_sink import Cancel, OutcomeSink
 
 __all__ = ["LinkState", "LoanCallback", "PeerLink"]
@@ -110,6 +111,11 @@
         """Number of answers whose bodies are arriving."""
         return len(self._answers)
 
+    @property
+    def is_awaiting(self) -> bool:
+        """Whether the other node has to answer something."""
+        return self._health.is_awaiting
+
     def open(self) -> None:
         """Start to connect."""
         self._task = asyncio.get_running_loop().create_task(self._connect())
@@ -151,10 +157,10 @@
         self.last_used_at = self._clock()
         self._health.record_question(self.last_used_at)
         if len(call.body) <= FRAGMENT_BYTES:
-            message = (Kind.CALL, number, *call[1:])
+            message = (Kind.CALL, *pack_call(call, number))
         else:
             call, body = call._replace(body=b""), call.body
-            message = (Kind.LARGE_CALL, len(body), number, *call[1:])
+            message = (Kind.LARGE_CALL, len(body), *pack_call(call, number))
             self._counters.add("link_bodies", reason="request")
             self._sender.start(number, BytesBody(body), _ignore_end)
         if self._state is LinkState.CONNECTING:
@@ -191,6 +197,9 @@
         if self._sender.unfinished:
             self._health.record_delivered(self.delivered_bytes(), self._marked, now)
         if self._health.is_dead(now):
+            # TCP would send calls whose packets were lost again after the close, and
+            # they would run when nobody waits for them.
+            discard_on_close(self._transport)
             self._mark_down("silent", sent=True)
             return False
         return self.open_calls > 0 and self._health.silence(now) > PROBE_AFTER_SECONDS
@@ -283,6 +292,7 @@
         loans, self._loans = self._loans, {}
         unrun = {number for number in calls if self._sender.cancel(number)}
         self._answers.break_off()
+        self._sender.close()
         self._on_down(self._host, cause, len(calls), was_reset)
         for number, reply in calls.items():
             if sent and number not in unrun:
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -96,9 +96,9 @@
 
 
 def _accept_late_answers():
-    from damaskramp.relay.server_connection import ServerConnection
+    from damaskramp.relay.answer_reader import AnswerReader
 
-    _replace(ServerConnection, "_is_own_answer", lambda self: True)
+    _replace(AnswerReader, "_is_own_answer", lambda self: True)
 
 
 def _forget_the_team():
@@ -172,13 +172,13 @@
 def _reorder_answers():
     from damaskramp.relay.caller_connection import CallerConnection
 
-    original = CallerConnection._begin_next
+    original = CallerConnection.take_turn
 
-    def _begin_next(self):
+    def take_turn(self):
         self._pipelined.reverse()
-        original(self)
+        return original(self)
 
-    _replace(CallerConnection, "_begin_next", _begin_next)
+    _replace(CallerConnection, "take_turn", take_turn)
 
 
 def _cut_bodies():
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -3,10 +3,13 @@
 import asyncio
 import time
 from dataclasses import replace
+from unittest.mock import Mock
 
 from damaskramp.core import ByteBudget
+from damaskramp.relay.link_gate import SILENT_SECONDS
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.peer_link import LinkState, PeerLink
+from damaskramp.relay.peer_links import PROBES_PER_CHECK
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, ok, route
 
 
@@ -66,7 +69,7 @@
 class TestUpdates(RelayTestCase):
     def test_node_without_the_store_is_updated_by_its_peers(self):
         async def scenario(fleet):
-            source = fleet.nodes[0]._watcher._source
+            source = fleet.nodes[0]._parts.watcher._source
 
             async def refuse(*args, **fields):
                 from damaskramp.fleet import SourceBusyError
@@ -89,7 +92,7 @@
     def test_updates_stay_in_the_zone_and_are_compressed(self):
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
-            packed = peers._packed(fleet.nodes[0]._fleet_view.configuration)
+            packed = peers.exchange.packed(fleet.nodes[0]._fleet_view.configuration)
             document = fleet.nodes[0]._fleet_view.configuration.document
             return (
                 peers._broadcast_targets(),
@@ -173,11 +176,15 @@
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
             await fleet.ask("/a")
-            link = peers._links[fleet.host(1)]
+            link = peers.links.by_host[fleet.host(1)]
             link.last_used_at -= 60.0
             peers.gossip()
-            fresh = peers._links.get(fleet.host(1))
-            return fresh is link, set(peers._unreachable), (await fleet.ask("/a"))[0]
+            fresh = peers.links.by_host.get(fleet.host(1))
+            return (
+                fresh is link,
+                set(peers.hosts.unreachable),
+                (await fleet.ask("/a"))[0],
+            )
 
         config = configuration(1, [route("far", "/")], CLUBS)
         got = self.run_scenario(scenario, ("svc", "far"), config)
@@ -189,17 +196,109 @@
             await asyncio.sleep(0.3)
             fleet.nodes[1]._links.abort()
             await asyncio.sleep(0.05)
-            return (await fleet.ask("/a"))[0], set(fleet.nodes[0]._peers._unreachable)
+            return (await fleet.ask("/a"))[0], set(
+                fleet.nodes[0]._peers.hosts.unreachable
+            )
 
         config = configuration(1, [route("far", "/")], CLUBS)
         got = self.run_scenario(scenario, ("svc", "far"), config)
         self.assertEqual((200, set()), got)
 
+    def test_link_opened_without_a_call_is_kept(self):
+        """The other node would close it as silent, together with a call on its way."""
+
+        async def scenario(fleet):
+            node, host = fleet.nodes[0], fleet.host(1)
+            peers = node._peers
+            await fleet.ask("/a")
+            await asyncio.sleep(0.3)
+            # Gossip would ping this host soon only in a small fleet.
+            gossip = node._periodic_work._timers[0]
+            gossip.cancel()
+            if loses_host:
+                peers.links.by_host.pop(host).close()
+                peers.hosts.unreachable.add(host)
+                await fleet.until(lambda: not peers.hosts.unreachable)
+            else:
+                fleet.nodes[1]._links.abort()
+                await asyncio.sleep(0.05)
+            link = peers.links.by_host[host]
+            await asyncio.sleep(SILENT_SECONDS + 1.0)
+            shed = fleet.nodes[1]._counters.values.get(("shed", "links"), 0)
+            return peers.links.by_host.get(host) is link, shed
+
+        config = configuration(1, [route("far", "/")], CLUBS)
+        for loses_host in (False, True):
+            with self.subTest(loses_host):
+                got = self.run_scenario(scenario, ("svc", "far"), config)
+                self.assertEqual((True, 0), got)
+
+    def test_host_that_does_not_answer_stays_unreachable(self):
+        """The kernel of a host accepts links for a process that is frozen."""
+
+        async def scenario(fleet):
+            peers = fleet.nodes[0]._peers
+            accepted = []
+            server = await asyncio.start_server(
+                lambda reader, writer: accepted.append(writer), fleet.host(2), 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            host, known = fleet.host(2), peers.links._port
+            peers.links._port = port
+            peers.hosts.unreachable.add(host)
+            peers.hosts.introduced.add(host)
+            await fleet.until(lambda: accepted)
+            peers.links._port = known
+            await asyncio.sleep(0.3)
+            server.close()
+            return host in peers.hosts.unreachable
+
+        self.assertTrue(self.run_scenario(scenario, ("svc", "far")))
+
+    def test_many_lost_hosts_are_tried_in_turn(self):
+        """Trying a whole lost zone all the time would take a part of the core."""
+
+        async def scenario(fleet):
+            peers = fleet.nodes[0]._peers
+            network = fleet.host(0).rpartition(".")[0]
+            lost = {f"{network}.{n}" for n in range(100, 140)}
+            tried = []
+            peers.links._open = lambda host: tried.append(host) or Mock()
+            peers.hosts.unreachable.update(lost)
+            counts = []
+            for n in range(5):
+                before = len(tried)
+                peers.check_links()
+                counts.append(len(tried) - before)
+                for host in tried[before:]:
+                    peers.links._retry_at[host] = peers.links._clock() + n
+            peers.hosts.unreachable.clear()
+            return counts, set(tried) == lost
+
+        got = self.run_scenario(scenario, ("svc", "far"))
+        self.assertEqual(([PROBES_PER_CHECK] * 5, True), got)
+
+    def test_lost_host_that_pings_is_tried_at_once(self):
+        async def scenario(fleet):
+            peers, host = fleet.nodes[0]._peers, fleet.host(1)
+            await fleet.ask("/a")
+            for node in fleet.nodes:
+                for timer in node._periodic_work._timers:
+                    timer.cancel()
+            peers.links.by_host.pop(host).close()
+            peers.hosts.unreachable.add(host)
+            peers.links._retry_at[host] = peers.links._clock() + 60.0
+            fleet.nodes[1]._peers.gossip()
+            await fleet.until(lambda: not peers.hosts.unreachable)
+
+        config = configuration(1, [route("far", "/")], CLUBS)
+        self.run_scenario(scenario, ("svc", "far"), config)
+
     def test_call_on_a_link_that_never_opened_is_not_run(self):
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
-            await fleet.until(lambda: fleet.host(1) in peers._links)
-            link = peers._links[fleet.host(1)]
+            await fleet.until(lambda: fleet.host(1) in peers.links.by_host)
+            link = peers.links.by_host[fleet.host(1)]
             await fleet.until(lambda: link.state is LinkState.UP)
             # This link opens no connection, as if its opening packet were lost.
             lost = PeerLink(
@@ -211,7 +310,7 @@
                 lambda *fields: None,
                 lambda *fields: None,
             )
-            peers._links[fleet.host(1)] = lost
+            peers.links.by_host[fleet.host(1)] = lost
             got = await fleet.ask("/a", method="POST", extra="X-Timeout-Ms: 200\r\n")
             lost.open()
             await fleet.until(lambda: lost.state is LinkState.UP)
--- a/tests/test_relay_configuration.py
+++ b/tests/test_relay_configuration.py
@@ -44,7 +44,7 @@
                 "no key": await fleet.ask("/a", key=""),
             }
             counted = fleet.counters[0].values[("configuration_findings", "")]
-            return got, counted, fleet.nodes[0]._status()
+            return got, counted, fleet.nodes[0]._pages.status()
 
         got, counted, (_, page) = self.run_scenario(scenario)
         statuses = {name: answer[0] for name, answer in got.items()}
@@ -160,7 +160,7 @@
             before = fleet_view.freshness._proved_at
             await fleet.until(lambda: fleet_view.freshness._proved_at > before)
             listed = [server.id for server in fleet_view.directory.servers]
-            peers = fleet.nodes[0]._peers._introduced
+            peers = fleet.nodes[0]._peers.hosts.introduced
             return listed, fleet_view.version, {type(host) for host in peers} - {str}
 
         self.assertEqual((["i-0"], 1, set()), self.run_scenario(scenario))
--- a/tests/test_relay_stops.py
+++ b/tests/test_relay_stops.py
@@ -120,7 +120,7 @@
         async def scenario(fleet):
             stopping = asyncio.ensure_future(fleet.nodes[0].stop())
             listener = fleet.nodes[0]._listener
-            await fleet.until(lambda: listener.closing)
+            await fleet.until(lambda: listener.context.closing)
             reader, writer = await fleet.connect()
             for n in range(3):
                 writer.write(
@@ -145,7 +145,7 @@
         async def scenario(fleet):
             stopping = asyncio.ensure_future(fleet.nodes[0].stop())
             listener = fleet.nodes[0]._listener
-            await fleet.until(lambda: listener.closing)
+            await fleet.until(lambda: listener.context.closing)
             reader, writer = await fleet.connect()
             request = (
                 b"GET /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q%d\r\n"
