Callers: test that a waiting request never begins while the connection closes

Change: a test in which the bound on a turn lets both requests wait, and the caller reads the closing answer late.

--- a/damaskramp/relay/tests/test_caller_turns.py
+++ b/damaskramp/relay/tests/test_caller_turns.py
@@ -191,3 +191,31 @@
         waiting, later, answer = self.run_loop(scenario())
         self.assertEqual((1, 0), (waiting, later))
         self.assertIn(b"404", answer)
+
+    def test_a_request_that_waits_never_begins_while_the_connection_closes(self):
+        """Guards against requests that run behind an answer that closes the connection.
+
+        The caller reads that answer late, upon which the connection takes a turn.
+        """
+
+        async def scenario():
+            listener = self.make_listener()
+            for _ in range(REQUESTS_PER_TURN):
+                self.send(
+                    self.connect(listener)[0], b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+                )
+            connection, transport = self.connect(listener)
+            two_hosts = b"GET /bad HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"
+            self.send(connection, two_hosts + b"GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+            begun_before = bytes(transport.written)
+            await asyncio.sleep(0)
+            connection.pause_writing()
+            connection.resume_writing()
+            for _ in range(3):
+                await asyncio.sleep(0)
+            return begun_before, bytes(transport.written), listener.unanswered
+
+        before, answers, unanswered = self.run_loop(scenario())
+        self.assertEqual((b"", 1, 0), (before, answers.count(b"HTTP/1.1"), unanswered))
+        self.assertIn(b"HTTP/1.1 400", answers)
+        self.assertNotIn("/late", [request.path for request in self.handler.seen])
