--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -184,8 +184,12 @@
             self._transport.write(CONTINUE_RESPONSE)
 
     def receive_request(self, request: CallerRequest) -> None:
-        """Hand the request on, or queue it behind the one before it."""
-        if self._rejected or not self._charges.is_open:
+        """Hand the request on, or queue it behind the one before it.
+
+        A request that came in one piece with one that is answered at once may be read
+        after the connection has begun to close. It never runs.
+        """
+        if self._rejected or self._closing or not self._charges.is_open:
             self._charges.release(request)
             return
         # A request never overtakes one that waits for its turn.
@@ -302,7 +306,9 @@
     def take_turn(self) -> bool:
         """Begin the next request; return whether there was one to begin."""
         self._awaits_turn = False
-        if self._current is not None or not self._pipelined or self._answers.stalled:
+        if self._closing or self._answers.stalled:
+            return False
+        if self._current is not None or not self._pipelined:
             return False
         request = self._pipelined.popleft()
         self.update_reading()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,8 @@
 """Effect of the events of a schedule on the fleet."""
 
 import asyncio
+import contextlib
+import dataclasses
 import signal
 
 from tests.soak.callers import Crowd
@@ -31,7 +33,7 @@
         EventKind.ANSWERS_CUT,
         EventKind.ANSWERS_ENDLESS,
         EventKind.STATES_LIMIT,
-        EventKind.STATES_LEAVING,
+        EventKind.LEAVING_TAKEN_BACK,
     }
 )
 
@@ -49,6 +51,7 @@
         self._tasks = []
         self._copies = []
         self._nodes_busy = set()
+        self._cut_pairs = []
 
     async def run(self):
         """Apply all events, and wait until the last one has ended."""
@@ -75,9 +78,15 @@
             await asyncio.sleep(event.seconds)
             host.peers_proxy.set_mode(LinkMode.PASS)
         elif event.kind in SERVER_FAULTS:
-            host.backend.faults.add(event.kind.value)
+            of_service = event.kind is EventKind.SERVER_SHEDS
+            hosts = fleet.hosts_of(host.service) if of_service else [host]
+            for one in hosts:
+                one.backend.faults.add(event.kind.value)
             await asyncio.sleep(event.seconds)
-            host.backend.faults.discard(event.kind.value)
+            for one in hosts:
+                one.backend.faults.discard(event.kind.value)
+            if event.kind is EventKind.LEAVING_TAKEN_BACK:
+                host.backend.end_notice("said leaving")
         elif event.kind in CROWDS:
             crowd = Crowd(fleet, host, event.kind.value)
             host.crowds.append(crowd)
@@ -131,6 +140,21 @@
     async def _peers_reset(self, event, host):
         host.peers_proxy.reset()
 
+    async def _pair_cut(self, event, host):
+        """Silence all connections between two hosts, in both directions."""
+        pair = {event.host, event.peer}
+        self._cut_pairs.append(pair)
+        self._update_cuts(pair)
+        await asyncio.sleep(event.seconds)
+        self._cut_pairs.remove(pair)
+        self._update_cuts(pair)
+
+    def _update_cuts(self, pair):
+        for number in pair:
+            peers = set().union(*(p for p in self._cut_pairs if number in p)) - {number}
+            proxy = self._fleet.hosts[number].peers_proxy
+            proxy.set_cut(self._fleet.ports_finder(peers) if peers else None)
+
     async def _server_reset(self, event, host):
         host.server_proxy.reset()
 
@@ -147,19 +171,28 @@
         await host.backend.start()
         self._fleet.list_servers()
 
+    async def _states_leaving(self, event, host):
+        """Let a server announce that it is leaving; then it leaves and starts again."""
+        if not host.backend.is_up:
+            return
+        host.backend.faults.add(event.kind.value)
+        await asyncio.sleep(event.seconds)
+        host.backend.faults.discard(event.kind.value)
+        await self._server_crash(dataclasses.replace(event, seconds=0.5), host)
+
     async def _drains(self, event, host):
         if not host.backend.is_up or host.backend.is_leaving:
             return
         host.backend.is_leaving = True
         self._fleet.list_servers()
-        left = self._fleet.record.add_notice("server left", host.number)
+        host.backend.open_notice("server left")
         await asyncio.sleep(max(event.seconds, self._fleet.drain_seconds))
         host.backend.crash()
-        self._fleet.store.delete(f"servers/{host.backend.id}")
+        with contextlib.suppress(KeyError):
+            self._fleet.store.delete(f"servers/{host.backend.id}")
         await asyncio.sleep(1.0)
         await host.backend.start()
         self._fleet.list_servers()
-        left.until = self._fleet.record.now
 
     async def _store_silent(self, event, host):
         self._fleet.store.silent = True
@@ -182,14 +215,15 @@
         copy = next((c for at, c in reversed(self._copies) if at <= limit), None)
         if copy is None:
             return
+        fleet.store.refusal_status = 503
+        await asyncio.sleep(event.seconds)
+        # What was written while the store refused to be read is lost as well.
         lost = {
             key: item
             for key, item in fleet.store.items.items()
             if copy[0].get(key) != item
         }
         removed = [key for key in copy[0] if key not in fleet.store.items]
-        fleet.store.refusal_status = 503
-        await asyncio.sleep(event.seconds)
         fleet.store.restore(copy)
         fleet.store.refusal_status = 0
         # What the operator and the servers had written since is written again.
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -5,12 +5,20 @@
 import json
 import time
 
-__all__ = ["Arrival", "Notice", "Record", "Sent", "Told", "digest_of"]
+from tests.relay_fleet import field
 
+__all__ = ["Arrival", "Notice", "Record", "Sent", "Told", "digest_of", "read_answer"]
 
-def digest_of(path, body):
-    """Digest of a request, by which an answer is matched with it."""
-    return hashlib.sha256(path.encode() + b"\0" + body).hexdigest()[:16]
+DIGEST_LENGTH = 16
+
+
+def digest_of(request_id, path, body):
+    """Digest of a request, by which an answer is matched with it.
+
+    The id is part of it, as two requests without a body differ in nothing else.
+    """
+    parts = (request_id.encode(), path.encode(), body)
+    return hashlib.sha256(b"\0".join(parts)).hexdigest()[:DIGEST_LENGTH]
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,6 +29,8 @@
     ----------
     is_call : bool
         Whether a backend server made the request while it ran another one.
+    of_repeat : bool
+        Whether that other request had run before.
     """
 
     request_id: str
@@ -32,6 +42,7 @@
     at: float
     digest: str
     is_call: bool = False
+    of_repeat: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +57,18 @@
     whole: bool = True
 
 
+async def read_answer(reader, told):
+    """Read an answer into its record, as far as it comes; return its head."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    told.status = int(head.split(b" ", 2)[1])
+    told.answer_id = field(head, "x-request-id") or ""
+    told.whole = False
+    body = await reader.readexactly(int(field(head, "content-length") or 0))
+    told.whole = True
+    told.digest = body[:DIGEST_LENGTH].decode("latin-1")
+    return head
+
+
 @dataclasses.dataclass(slots=True)
 class Arrival:
     """Request at a backend server, with what the server made of it."""
@@ -80,6 +103,7 @@
         self.sent = {}
         self.told = {}
         self.arrivals = []
+        self._run_ids = set()
         self.notices = []
 
     def restart_clock(self):
@@ -101,6 +125,17 @@
     def add_told(self, told):
         self.told[told.request_id] = told
 
+    def is_call(self, request_id):
+        """Whether a backend server made a request."""
+        return self.sent[request_id].is_call
+
+    def begin_run(self, arrival):
+        """Record that a server runs a request; return whether it ran before."""
+        arrival.ran = True
+        is_repeat = arrival.request_id in self._run_ids
+        self._run_ids.add(arrival.request_id)
+        return is_repeat
+
     def add_notice(self, what, host=-1, detail=""):
         """Record a change that begins now, and return its record."""
         notice = Notice(what, self.now, host, detail)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,7 +18,7 @@
 from tests.soak.record import Record
 from tests.soak.schedule import Schedule, make_schedule
 
-__all__ = ["main", "run_schedule", "shrink"]
+__all__ = ["REGRESSIONS_FOLDER", "main", "run_schedule", "shrink"]
 
 SEEDS = flags.DEFINE_integer("seeds", 1, "number of seeds to run", lower_bound=1)
 SEED = flags.DEFINE_integer("seed", None, "first seed; the time of day if not given")
@@ -30,8 +30,14 @@
 MUTANT = flags.DEFINE_enum(
     "mutant", "", ["", *MUTANTS], "planted fault of the nodes that is to be caught"
 )
+REGRESSIONS = flags.DEFINE_bool(
+    "regressions", False, "run the schedules of all seeds that have failed"
+)
 KEEP = flags.DEFINE_string("keep", "soak-failures", "folder for failing runs")
 
+REGRESSIONS_FOLDER = Path(__file__).parent / "regressions"
+"""Schedules of seeds that have failed, each with its cause."""
+
 SAMPLE_SECONDS = 0.1
 CALM_SECONDS = 1.0
 """Time after the last event in which callers go on before the fleet is checked."""
@@ -148,7 +154,7 @@
 
 
 def _summary(record):
-    told = record.told.values()
+    told = [one for name, one in record.told.items() if not record.is_call(name)]
     served = sum(one.status == 200 for one in told)
     runs = sum(arrival.ran for arrival in record.arrivals)
     return f"{len(told)} requests of callers, {served} served, {runs} runs"
@@ -202,6 +208,9 @@
     keep = Path(KEEP.value)
     if REPLAY.value:
         schedules = [Schedule.from_json(Path(REPLAY.value).read_text("utf-8"))]
+    elif REGRESSIONS.value:
+        files = sorted(REGRESSIONS_FOLDER.glob("*.json"))
+        schedules = [Schedule.from_json(file.read_text("utf-8")) for file in files]
     else:
         first = SEED.value if SEED.value is not None else int(time.time())
         schedules = [
@@ -214,7 +223,8 @@
         violations = run_schedule(schedule, MUTANT.value, CALLERS.value, keep)
         _report(schedule, violations, time.monotonic() - started)
         if MUTANT.value and _is_caught(violations):
-            print(f"mutant {MUTANT.value} is caught by seed {schedule.seed}")
+            caught = MUTANTS[MUTANT.value].promise
+            print(f"mutant {MUTANT.value}: {caught} caught it, seed {schedule.seed}")
             return
         if not violations:
             continue
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 import json
 import random
 from enum import Enum
@@ -14,7 +15,7 @@
 WARM_UP_SECONDS = 3.0
 """Time before the first event, so that rates and counts have a start without faults."""
 
-MEAN_GAP_SECONDS = 1.1
+MEAN_GAP_SECONDS = 0.9
 """Mean time between two events. Most faults last longer, so that they overlap."""
 
 SERIES_SHARE = 0.25
@@ -34,6 +35,7 @@
     PEERS_SILENT = "peers_silent"
     PEERS_ONE_WAY = "peers_one_way"
     PEERS_TRICKLE = "peers_trickle"
+    PAIR_CUT = "pair_cut"
     SERVER_RESET = "server_reset"
     SERVER_SILENT = "server_silent"
     SERVER_SLOW = "server_slow"
@@ -45,6 +47,7 @@
     ANSWERS_ENDLESS = "answers_endless"
     STATES_LIMIT = "states_limit"
     STATES_LEAVING = "states_leaving"
+    LEAVING_TAKEN_BACK = "leaving_taken_back"
     DRAINS = "drains"
     STORE_SILENT = "store_silent"
     STORE_BUSY = "store_busy"
@@ -67,11 +70,28 @@
     EventKind.KEY_WITHDRAWN: (0.0, 0.0),
     EventKind.HISTORY_LOST: (0.0, 0.0),
     EventKind.STORE_RESTORED: (0.5, 1.5),
-    EventKind.EVACUATION: (6.0, 9.0),
+    EventKind.EVACUATION: (8.0, 11.0),
     EventKind.STATES_LIMIT: (5.0, 8.0),
+    EventKind.ANSWERS_LATE: (2.0, 5.0),
+    EventKind.SERVER_SHEDS: (5.0, 8.0),
+    EventKind.DRAINS: (4.0, 7.0),
+    EventKind.STATES_LEAVING: (4.0, 7.0),
+    EventKind.LEAVING_TAKEN_BACK: (4.0, 7.0),
 }
 """Shortest and longest duration of an event, in seconds."""
 
+LATEST_SECONDS = {
+    EventKind.EVACUATION: 11.0,
+    EventKind.STATES_LIMIT: 8.0,
+    EventKind.SERVER_SHEDS: 8.0,
+    EventKind.DRAINS: 7.0,
+    EventKind.STATES_LEAVING: 7.0,
+    EventKind.LEAVING_TAKEN_BACK: 7.0,
+    EventKind.KEY_WITHDRAWN: 9.0,
+}
+"""Shortest time, in seconds, from the start of an event to the end of the run, of kinds
+that are judged after the time of a bound."""
+
 DEFAULT_DURATION = (0.8, 4.0)
 
 NEVER_IN_SERIES = frozenset(
@@ -81,6 +101,8 @@
         EventKind.STORE_SILENT,
         EventKind.STORE_BUSY,
         EventKind.EVACUATION,
+        EventKind.LEAVING_TAKEN_BACK,
+        EventKind.SERVER_SHEDS,
     }
 )
 
@@ -96,13 +118,17 @@
     seconds : float
         Duration; 0 for a change that lasts.
     host : int
-        Number of the host; the zone of an evacuation is that of its host.
+        Number of the host. An evacuation is one of its zone, and requests are shed by
+        all servers of its service.
+    peer : int
+        Number of the other host of a cut between two; -1 for other kinds.
     """
 
     at: float
     kind: EventKind
     host: int
     seconds: float
+    peer: int = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,12 +141,15 @@
         Time in which events may start and last.
     hosts : int
         Number of hosts.
+    cause : str
+        Why a run of the schedule failed; empty if none has.
     """
 
     seed: int
     seconds: float
     hosts: int
     events: tuple[Event, ...]
+    cause: str = ""
 
     def without(self, position):
         """Return the schedule without one of its events."""
@@ -128,11 +157,17 @@
         return dataclasses.replace(self, events=events)
 
     def to_json(self):
-        """Return the schedule as the text of a file that a run can replay."""
+        """Return the schedule as the text of a file that a run can replay.
+
+        Each event is on a line of its own.
+        """
         document = dataclasses.asdict(self)
-        for event in document["events"]:
+        events = document.pop("events")
+        for event in events:
             event["kind"] = event["kind"].value
-        return json.dumps(document, indent=1)
+        lines = ",\n".join(f"  {json.dumps(event)}" for event in events)
+        head = json.dumps(document, indent=1).removesuffix("\n}")
+        return f'{head},\n "events": [\n{lines}\n ]\n}}\n'
 
     @classmethod
     def from_json(cls, text):
@@ -146,14 +181,33 @@
         document = json.loads(text)
         try:
             events = tuple(
-                Event(e["at"], EventKind(e["kind"]), e["host"], e["seconds"])
+                Event(
+                    e["at"],
+                    EventKind(e["kind"]),
+                    e["host"],
+                    e["seconds"],
+                    e.get("peer", -1),
+                )
                 for e in document["events"]
             )
-            return cls(document["seed"], document["seconds"], document["hosts"], events)
+            head = [document[name] for name in ("seed", "seconds", "hosts")]
+            return cls(*head, events, document.get("cause", ""))
         except (KeyError, TypeError) as error:
             raise ValueError(f"not a saved schedule: {error!r}") from error
 
 
+def _kinds_of(seed, kinds):
+    """Yield the kinds of a seed's events.
+
+    The second of two seeds goes on in the middle of the order of the first, so that a
+    pair of runs of 25 s has nearly all kinds.
+    """
+    order = list(kinds)
+    random.Random(f"kinds/{seed // 2}").shuffle(order)
+    start = seed % 2 * (len(order) // 2)
+    yield from itertools.cycle(order[start:] + order[:start])
+
+
 def make_schedule(seed, seconds, hosts, kinds=tuple(EventKind)):
     """Return the schedule of a seed.
 
@@ -172,15 +226,21 @@
     source = random.Random(seed)
     events = []
     at = WARM_UP_SECONDS
+    drawn = _kinds_of(seed, kinds)
     while at < seconds:
-        kind = source.choice(kinds)
+        kind = next(drawn)
         in_series = source.random() < SERIES_SHARE and kind not in NEVER_IN_SERIES
         count = source.randint(2, max(2, hosts // 2)) if in_series else 1
         for number, host in enumerate(source.sample(range(hosts), min(count, hosts))):
             shortest, longest = DURATIONS.get(kind, DEFAULT_DURATION)
             start = at + number * SERIES_GAP_SECONDS
+            latest = max(WARM_UP_SECONDS, seconds - LATEST_SECONDS.get(kind, 0.0))
+            start = min(start, latest)
             length = min(source.uniform(shortest, longest), max(0.0, seconds - start))
-            events.append(Event(round(start, 2), kind, host, round(length, 2)))
+            peer = -1
+            if kind is EventKind.PAIR_CUT:
+                peer = (host + source.randrange(1, hosts)) % hosts
+            events.append(Event(round(start, 2), kind, host, round(length, 2), peer))
         at += source.expovariate(1.0 / MEAN_GAP_SECONDS)
     events.sort(key=lambda event: event.at)
     return Schedule(seed, seconds, hosts, tuple(events))
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -1,14 +1,13 @@
 """Stand-in of a backend server with the faults that a schedule asks for."""
 
 import asyncio
-import contextlib
 import random
 import re
 import time
 
 from tests.relay_fleet import field
 from tests.soak.proxy import reset_connection
-from tests.soak.record import Arrival, Sent, digest_of
+from tests.soak.record import Arrival, Sent, Told, digest_of, read_answer
 
 __all__ = ["CALL_PATH", "Backend"]
 
@@ -22,6 +21,8 @@
 STATED_LIMIT = 4.0
 """Requests a second that a server in need states."""
 
+LEAVING_FAULTS = frozenset({"states_leaving", "leaving_taken_back"})
+
 ENDLESS_BYTES = b"\x00" * 4096
 LATE_SECONDS = 0.3
 FAULT_SHARE = 0.3
@@ -47,6 +48,8 @@
         self._server = None
         self._calls = 0
         self._starts = 0
+        self._notices = {}
+        self._start_lock = asyncio.Lock()
         self.number = number
         self.faults = set()
         self.running = 0
@@ -61,7 +64,12 @@
         return self._server is not None
 
     async def start(self):
-        """Begin a new lifetime, under the same id."""
+        """Begin a new lifetime, under the same id, unless another event has."""
+        async with self._start_lock:
+            if not self.is_up:
+                await self._start()
+
+    async def _start(self):
         self._starts += 1
         self.id = f"i-{self.number}"
         self.born = int(time.time() * 1000)
@@ -79,9 +87,22 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+        for what in list(self._notices):
+            self.end_notice(what)
         for writer in list(self._writers):
             reset_connection(writer)
 
+    def open_notice(self, what):
+        """Record that something holds until the server starts again."""
+        if what not in self._notices:
+            self._notices[what] = self._fleet.record.add_notice(what, self.number)
+
+    def end_notice(self, what):
+        """Record that it no longer holds."""
+        notice = self._notices.pop(what, None)
+        if notice is not None:
+            notice.until = self._fleet.record.now
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -114,7 +135,7 @@
             request_id,
             field(head, "x-tenant") or "",
             self._fleet.record.now,
-            digest_of(target, body),
+            digest_of(request_id, target, body),
             ran=False,
             has_key=b"authorization" in head.lower() or b"key-" in head,
         )
@@ -125,10 +146,10 @@
         sheds = "server_sheds" in self.faults and self._random.random() < SHED_SHARE
         if self.running >= SLOTS or sheds:
             return self._refuse(writer, request_id, 503)
-        arrival.ran = True
+        is_repeat = self._fleet.record.begin_run(arrival)
         self.running += 1
         try:
-            good = await self._run(head, target)
+            good = await self._run(head, target, is_repeat)
         finally:
             self.running -= 1
         return await self._answer(writer, request_id, arrival.digest, good)
@@ -140,7 +161,7 @@
         )
         return True
 
-    async def _run(self, head, target):
+    async def _run(self, head, target, is_repeat):
         seconds = self._random.uniform(*RUN_SECONDS)
         if "server_slow" in self.faults:
             seconds *= SLOW_FACTOR
@@ -148,9 +169,9 @@
         if target == CALL_PATH or self._random.random() > CALL_SHARE:
             return True
         remaining = int(field(head, "x-timeout-ms") or 0)
-        return await self._call(min(CALL_DEADLINE_MS, remaining))
+        return await self._call(min(CALL_DEADLINE_MS, remaining), is_repeat)
 
-    async def _call(self, deadline_ms):
+    async def _call(self, deadline_ms, is_repeat):
         """Make a call through the node of this host; return whether it succeeded."""
         self._calls += 1
         request_id = f"call-{self.number}-{self._starts}-{self._calls}"
@@ -164,11 +185,13 @@
                 "inner",
                 True,
                 fleet.record.now,
-                digest_of(CALL_PATH, b""),
+                digest_of(request_id, CALL_PATH, b""),
                 is_call=True,
+                of_repeat=is_repeat,
             )
         )
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+        told = Told(request_id, 0, 0.0)
+        try:
             async with asyncio.timeout(deadline_ms / 1000):
                 reader, writer = await asyncio.open_connection(
                     self._host.ip, fleet.callers_port
@@ -179,18 +202,25 @@
                         f"X-Request-Id: {request_id}\r\n"
                         f"X-Timeout-Ms: {deadline_ms}\r\n\r\n".encode()
                     )
-                    line = await reader.readline()
-                    return line.split(b" ")[1:2] == [b"200"]
+                    await read_answer(reader, told)
                 finally:
                     writer.close()
-        return False
+        except TimeoutError:
+            # The server has given up, so it is told nothing.
+            return False
+        except (OSError, asyncio.IncompleteReadError):
+            told.status = 0
+        told.at = fleet.record.now
+        fleet.record.add_told(told)
+        return told.status == 200
 
     def _stated(self):
         fields = b""
         if "states_limit" in self.faults:
             fields += b"Server-Limit: %.1f\r\n" % STATED_LIMIT
-        if "states_leaving" in self.faults:
+        if self.faults & LEAVING_FAULTS:
             fields += b"Server-Leaving: 1\r\n"
+            self.open_notice("said leaving")
         return fields
 
     async def _answer(self, writer, request_id, digest, good):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,13 +1,20 @@
 """Short seeded run of the fault soak, and tests of its checks."""
 
+import asyncio
 import dataclasses
+import subprocess
+import sys
 import types
 
 from testtools import TestCase
 
+from tests.relay_fleet import NETWORK, WORKER
 from tests.soak.checks import PROMISES, Bounds, check
+from tests.soak.fleet import ROOT
+from tests.soak.mutants import MUTANTS
+from tests.soak.proxy import Proxy
 from tests.soak.record import Arrival, Notice, Record, Sent, Told
-from tests.soak.run import run_schedule
+from tests.soak.run import REGRESSIONS_FOLDER, run_schedule
 from tests.soak.schedule import EventKind, Schedule, make_schedule
 
 SHORT_SEED = 4
@@ -139,12 +146,35 @@
         self.run_records.request("evacuated", at=46.0)
         self.assert_breaks("left_servers", "evacuated_zones")
 
+    def test_announcements_of_leaving(self):
+        self.run_records.notice("said leaving", 20.0, host=1, until=30.0)
+        self.run_records.request("soon", at=22.0)
+        self.assert_breaks()
+        self.run_records.request("late", at=23.0)
+        self.assert_breaks("announced_leaving")
+
     def test_hosts_out_of_contact_are_excused(self):
         self.run_records.notice("server left", 20.0, host=1, until=30.0)
-        self.run_records.notice("peers_silent", 21.0, host=0, until=22.0)
+        self.run_records.notice("store_shut", 21.0, host=0, until=22.0)
         self.run_records.request("late", at=23.0)
         self.assert_breaks()
 
+    def test_faults_of_other_hosts_and_links_excuse_nothing(self):
+        """Guards against checks that judge nothing in a run with many faults."""
+        self.run_records.notice("server left", 20.0, host=1, until=30.0)
+        self.run_records.notice("store_shut", 21.0, host=1, until=22.0)
+        self.run_records.notice("peers_silent", 21.0, host=0, until=22.0)
+        self.run_records.request("late", at=23.0)
+        self.assert_breaks("left_servers")
+
+    def test_calls_of_repeated_runs_are_repeats(self):
+        self.run_records.request("twice", at=19.0, runs=2)
+        for number in range(20):
+            self.run_records.request(f"call-{number}", at=20 + number / 10)
+            sent = self.run_records.record.sent[f"call-{number}"]
+            sent.is_call = sent.of_repeat = True
+        self.assert_breaks("bounded_retries")
+
     def test_versions(self):
         self.run_records.notice("configuration", 0.0, detail="front")
         self.run_records.notice("configuration", 20.0, detail="inner")
@@ -162,7 +192,7 @@
 
     def test_planned_stops(self):
         self.run_records.notice("terminate", 20.0, host=0, until=26.0)
-        self.run_records.request("cut", at=20.5, status=0)
+        self.run_records.request("cut", at=19.95, status=0)
         self.assert_breaks("planned_stops")
         self.run_records.notice("node ends", 20.0, host=0, detail="overran", until=26.0)
         self.assert_breaks("planned_stops", "planned_stops_in_time")
@@ -177,7 +207,58 @@
 
     def test_every_promise_has_a_case(self):
         # The names that the cases above expect.
-        self.assertEqual(21, len(PROMISES))
+        self.assertEqual(22, len(PROMISES))
+
+
+class TestMutants(TestCase):
+    def test_planted_faults_replace_what_the_program_has(self):
+        """Guards against planted faults that a change of the program has disarmed."""
+        code = "from tests.soak.mutants import MUTANTS\n"
+        code += "for mutant in MUTANTS.values():\n    mutant.plant()"
+        subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=True)
+
+    def test_planted_faults_break_known_promises(self):
+        self.assertEqual(set(PROMISES), {m.promise for m in MUTANTS.values()})
+
+
+class TestProxy(TestCase):
+    def test_a_cut_silences_the_chosen_clients_only(self):
+        """Guards against cuts between two hosts that cut all, or none."""
+        address = f"127.{NETWORK + WORKER}.251.1"
+
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data)
+            writer.close()
+
+        async def answers(connection):
+            reader, writer = connection
+            writer.write(b"x")
+            try:
+                return await asyncio.wait_for(reader.read(1), 0.5) == b"x"
+            except TimeoutError:
+                return False
+
+        async def scenario():
+            target = await asyncio.start_server(echo, address, 8297)
+            proxy = Proxy((address, 8298), (address, 8297))
+            await proxy.start()
+            first = await asyncio.open_connection(address, 8298)
+            second = await asyncio.open_connection(address, 8298)
+            found = [await answers(first), await answers(second)]
+            port = first[1].get_extra_info("sockname")[1]
+            proxy.set_cut(lambda ports: ports & {port})
+            found += [await answers(first), await answers(second)]
+            proxy.set_cut(None)
+            # What was sent during the cut arrives now, so the link has lost nothing.
+            found += [await answers(first), await answers(second)]
+            for _, writer in (first, second):
+                writer.close()
+            proxy.stop()
+            target.close()
+            return found
+
+        self.assertEqual([True, True, False, True, True, True], asyncio.run(scenario()))
 
 
 class TestSchedules(TestCase):
@@ -189,9 +270,19 @@
     def test_an_unreadable_schedule_is_refused(self):
         self.assertRaises(ValueError, Schedule.from_json, "{}")
 
-    def test_all_kinds_occur(self):
-        events = [e for s in range(40) for e in make_schedule(s, 30.0, 6).events]
-        self.assertEqual(set(EventKind), {event.kind for event in events})
+    def test_regression_cases_state_their_cause(self):
+        files = list(REGRESSIONS_FOLDER.glob("*.json"))
+        self.assertNotEqual([], files)
+        for file in files:
+            schedule = Schedule.from_json(file.read_text("utf-8"))
+            self.assertNotEqual("", schedule.cause, file.name)
+
+    def test_all_kinds_occur_in_few_seeds(self):
+        """Guards against planted faults whose occasion a few seeds do not contain."""
+        for first in range(0, 40, 4):
+            seeds = range(first, first + 4)
+            events = [e for s in seeds for e in make_schedule(s, 25.0, 6).events]
+            self.assertEqual(set(EventKind), {event.kind for event in events})
 
 
 class TestShortRun(TestCase):
