--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -200,7 +200,10 @@
 
 
 def main(arguments):
-    """Run the seeds, or a saved schedule; exit with 1 if a promise was broken."""
+    """Run the seeds, or a saved schedule.
+
+    The exit code is 1 if a promise was broken, or a planted fault was not caught.
+    """
     if len(arguments) > 1:
         raise app.UsageError(f"unknown argument {arguments[1]!r}")
     # Faults end many connections while the stand-ins write to them.
@@ -238,7 +241,9 @@
             path.write_text(short.to_json(), "utf-8")
             print(f"  {len(short.events)} events remain: bin/soak --replay={path}")
     print(f"{len(schedules) - failed} passed, {failed} failed")
-    sys.exit(1 if failed else 0)
+    if MUTANT.value:
+        print(f"mutant {MUTANT.value}: not caught")
+    sys.exit(1 if failed or MUTANT.value else 0)
 
 
 if __name__ == "__main__":
