Chain benchmark: model split by responsibility, phases computed once

The scenario and configuration, the backend server and the host are modules of their own. The phase of a play was computed in three places and is now Scenario.phase; the published retry budget has names instead of repeated numbers.

--- a/benchmarks/chain_admission.py
+++ b/benchmarks/chain_admission.py
@@ -16,6 +16,8 @@
 
 BASELINE = "aca1822"
 ROOT = Path(__file__).parents[1]
+MODEL = ("chain_fleet", "chain_host", "chain_scenario", "chain_server")
+"""Modules of the model, which run with the code of both versions."""
 
 
 def extract_baseline(directory):
@@ -26,7 +28,8 @@
     target = Path(directory) / "benchmarks"
     target.mkdir()
     (target / "__init__.py").touch()
-    shutil.copy(ROOT / "benchmarks" / "chain_fleet.py", target)
+    for name in MODEL:
+        shutil.copy(ROOT / "benchmarks" / f"{name}.py", target)
 
 
 def play(directory, scenario, *options):
--- a/benchmarks/chain_fleet.py
+++ b/benchmarks/chain_fleet.py
@@ -2,88 +2,44 @@
 
 The nodes' own classes (`ForwardedRequest`, `Executor` and what they use) run on an
 event loop with a virtual clock. Links between nodes and backend servers are modelled.
-The module runs with the current code and with that of earlier commits.
-
-The call graph is the example of docs/design/hard_load.md: a lookup (priority 2) makes 2
-calls to *second*, each of these one to *third*, and each of these 4 calls, one after
-another, to *deep*. A posting (priority 0) makes one call to *third*. A listing
-(priority 2) makes no calls.
+The module and those that it imports run with the current code and with that of earlier
+commits.
 """
 
 import argparse
 import asyncio
 import json
 import random
-import re
 import resource
 import selectors
 from collections import Counter
-from dataclasses import dataclass, field, replace
-from types import SimpleNamespace
-
-from damaskramp.core import ByteBudget, Counters, ServiceName, TeamId, ZoneName
-from damaskramp.dispatch import (
-    RetryBudget,
-    RetryBudgetSettings,
-    SelectionSettings,
-    ServerSelector,
-    SlotQueue,
-    SlotSettings,
-    Suspects,
-    SuspectSettings,
+from dataclasses import dataclass, field
+
+from benchmarks.chain_host import Host
+from benchmarks.chain_scenario import (
+    CLIENT_TRIES,
+    ENTRY,
+    HOSTS,
+    RATES,
+    RETRY_RATIO,
+    RETRY_WINDOW_SECONDS,
+    TEAMS,
+    TIMEOUTS,
+    WORTH,
+    Scenario,
+    configuration,
 )
-from damaskramp.fleet import BackendServer, FleetConfiguration, ServerId
-from damaskramp.fleet.model import Route, StorePosition, Team, WeightedService
-from damaskramp.platform import PLATFORM_HEADERS
-from damaskramp.relay.caller_request import CallerRequest
-from damaskramp.relay.decision_log import DecisionLog
-from damaskramp.relay.execution import Executor
-from damaskramp.relay.fleet_view import FleetView
-from damaskramp.relay.forwarding import Forwarder
-from damaskramp.relay.headers import ReservedNames
-from damaskramp.relay.server_answer import ServerAnswer
-
-__all__ = ["Scenario", "run"]
-
-LINK_SECONDS = 0.0007
-PAUSE_SECONDS = 0.0003
-"""Way between a server and its node, including both processes."""
-
-HOSTS = {"front": 4, "post": 2, "second": 3, "third": 4, "deep": 6}
-CALLS = {"front": ("second", 2), "second": ("third", 1), "third": ("deep", 4)}
-OWN_SECONDS = {"front": 0.02, "post": 0.02, "second": 0.01, "third": 0.01, "deep": 0.01}
-RATES = {"lookup": 437.0, "posting": 173.0, "listing": 200.0}
-PRIORITIES = {"lookup": 2, "posting": 0, "listing": 2}
-WORTH = {"lookup": 1.0, "posting": 3.0, "listing": 1.0}
-ENTRY = {"lookup": "front", "posting": "post", "listing": "front"}
-TEAMS = {"large": 0.6, "medium": 0.3, "small": 0.1}
-TIMEOUTS = {"lookup": 2.5, "posting": 3.0, "listing": 2.0}
-OWN_LIMIT_MS = {"deep": 700}
-CLIENT_TRIES = 3
-
-
-@dataclass(frozen=True)
-class Scenario:
-    """One play; times in seconds.
-
-    Attributes
-    ----------
-    scale : float
-        Part of the rates and of the retry allowance that is played.
-    deep_slots : int
-        Slots of each server of the deepest service; fewer make a queue there.
-    """
-
-    seed: int = 1
-    scale: float = 0.25
-    attempts: int = 3
-    reject_share: float = 0.55
-    stress_from: float = 14.0
-    stress_to: float = 22.0
-    end: float = 27.0
-    deep_slots: int = 64
-    surge: float = 1.0
-    used_ratio: float = 0.0
+from damaskramp.core import ServiceName, ZoneName
+from damaskramp.fleet import BackendServer, ServerId
+from damaskramp.fleet.model import StorePosition
+
+__all__ = ["run"]
+
+PARTS_PER_SECOND = 2
+"""Parts of a second by which arrivals are counted for the retry budget."""
+
+DRAIN_SECONDS = 4.0
+"""Time in seconds for which the play goes on after the callers have stopped."""
 
 
 class _VirtualSelector(selectors.SelectSelector):
@@ -125,261 +81,6 @@
     sent: int = 0
 
 
-class _Connections:
-    """Fake of a backend server behind its node."""
-
-    def __init__(self, host):
-        self._host = host
-
-    def start(self, exchange, request_id, head_only, data, body=b""):
-        run = _ServerRun(self._host, exchange, request_id, data)
-        return run.abandon
-
-    def sweep(self):
-        pass
-
-    def oldest_idle(self):
-        """Clock time of the oldest idle connection; none is kept."""
-
-
-class _ServerRun:
-    """Run of one request at a backend server, with its calls."""
-
-    def __init__(self, host, exchange, request_id, data):
-        self.host, self.exchange = host, exchange
-        self.fleet, loop = host.fleet, host.fleet.loop
-        head = data.split(b"\r\n", 1)[0].split()[1]
-        ms = int(re.search(rb"X-Timeout-Ms: (\d+)", data).group(1))
-        self.began = loop.time() + PAUSE_SECONDS
-        self.ends = self.began + ms / 1000
-        self.open = True
-        following, count = CALLS.get(host.service, ("", 0))
-        if head.startswith(b"/posting"):
-            following, count = "third", 1
-        elif head.startswith(b"/listing"):
-            count = 0
-        self.following, self.left = following, count
-        self.repeats = self.fleet.record_arrival(host.service, request_id)
-        scenario = self.fleet.scenario
-        if host.service == "deep":
-            self.fleet.record_deep_arrival()
-            stress = scenario.stress_from <= loop.time() < scenario.stress_to
-            if stress and self.fleet.source.random() < scenario.reject_share:
-                loop.call_later(0.001, self.end, 503, True)
-                return
-        spread = self.fleet.source.uniform(0.7, 1.3)
-        loop.call_later(OWN_SECONDS[host.service] * spread, self.next_call)
-        loop.call_later(ms / 1000, self.end, 500)
-
-    def next_call(self):
-        if not self.open:
-            return
-        if not self.left:
-            self.end(200)
-            return
-        self.left -= 1
-        left_ms = int(1000 * (self.ends - self.fleet.loop.time()))
-        if left_ms <= 0:
-            self.end(500)
-            return
-        stated = min(left_ms, OWN_LIMIT_MS.get(self.following, left_ms))
-        ask = (f"/{self.following}/x", "", stated, self.call_answered, self.repeats)
-        # A few calls are read late by a busy node.
-        late = PAUSE_SECONDS + min(0.006, self.fleet.source.expovariate(3000.0))
-        self.fleet.loop.call_later(late, self.host.ask, *ask)
-
-    def call_answered(self, status, retry_after):
-        if status == 200:
-            self.next_call()
-        else:
-            self.end(500)
-
-    def end(self, status, not_executed=False):
-        if not self.open:
-            return
-        self.open = False
-        if status != 200 and not not_executed:
-            self.fleet.record_waste(self.fleet.loop.time() - self.began)
-        answer = ServerAnswer(status)
-        answer.not_executed = not_executed
-        self.exchange.head_received(answer)
-        self.exchange.answered(answer)
-
-    def abandon(self):
-        self.open = False
-
-
-class _Caller:
-    """Connection that receives the answer to one request."""
-
-    names = ReservedNames(PLATFORM_HEADERS)
-
-    def __init__(self, callback):
-        self._callback = callback
-
-    def respond(self, request, head, body):
-        status = int(head.split(b" ", 2)[1])
-        found = re.search(rb"Retry-After: ([\d.]+)", head)
-        self._callback(status, float(found.group(1)) if found else 0.0)
-
-
-class _Peers:
-    """Links between the nodes of the model, with a delay."""
-
-    def __init__(self, fleet):
-        self._fleet = fleet
-
-    def usable(self, servers):
-        return servers
-
-    def call(self, host, call, reply):
-        fleet, loop = self._fleet, self._fleet.loop
-        fleet.record_message()
-        state = {"cancelled": False, "cancel": None}
-
-        def deliver():
-            if not state["cancelled"]:
-                state["cancel"] = fleet.by_address[host].executor.submit(call, link)
-
-        def cancel():
-            state["cancelled"] = True
-            if state["cancel"] is not None:
-                loop.call_later(LINK_SECONDS, state["cancel"])
-            return False
-
-        link = _DelayedReply(fleet, reply)
-        loop.call_later(LINK_SECONDS, deliver)
-        return cancel
-
-
-class _DelayedReply:
-    """Outcome of a call on its way back."""
-
-    def __init__(self, fleet, reply):
-        self._fleet, self._reply = fleet, reply
-
-    def __getattr__(self, name):
-        def send(*outcome):
-            self._fleet.record_message()
-            loop = self._fleet.loop
-            loop.call_later(LINK_SECONDS, getattr(self._reply, name), *outcome)
-
-        return send
-
-
-class _NoWarmup:
-    """Warm-up of a server that is never cold."""
-
-    seconds_left = 0.0
-
-    def __getattr__(self, name):
-        return lambda *arguments: None
-
-
-def _later_parts(view, clock, source):
-    """Warm-up, eligibility and load exchange, which the baseline does not have."""
-    try:
-        from damaskramp.dispatch import (
-            Eligibility,
-            ExchangeSettings,
-            LoadExchange,
-            RegionSettings,
-        )
-    except ImportError:
-        return (), (), ()
-    eligibility = Eligibility(RegionSettings("", {}), view.zone, None, clock)
-    loads = LoadExchange(ExchangeSettings(), view.directory.of_service, source)
-    return (_NoWarmup(),), (eligibility,), (loads,)
-
-
-class _Host:
-    """One host: its node's parts and its backend server."""
-
-    def __init__(self, fleet, service, number, config):
-        self.fleet, self.service = fleet, service
-        loop, scenario = fleet.loop, fleet.scenario
-        self.address = f"10.0.{list(HOSTS).index(service)}.{number}"
-        self.counters = Counters()
-        clock = loop.time
-        self.view = FleetView(
-            self.address,
-            ZoneName("z"),
-            ServiceName(service),
-            f"{self.address}:5",
-            5.0,
-            clock,
-            Suspects(SuspectSettings()),
-        )
-        self.view.freshness = SimpleNamespace(age=0.0, now=0.0)
-        self.view.adopt_configuration(config)
-        log = DecisionLog(0.0, clock, self.counters)
-        slots = scenario.deep_slots if service == "deep" else 256
-        queue = SlotQueue(SlotSettings(), slots)
-        budget_settings = RetryBudgetSettings(0.2, 10.0, 91 * scenario.scale)
-        if fleet.chain_control:
-            used = scenario.used_ratio or budget_settings.used_ratio
-            budget_settings = replace(budget_settings, used_ratio=used)
-        self.budget = RetryBudget(budget_settings, fleet.source.random())
-        self.budget.resize(sum(HOSTS.values()))
-        warmup, eligibility, loads = _later_parts(self.view, clock, fleet.source)
-        self.executor = Executor(
-            self.view,
-            queue,
-            *warmup,
-            _Connections(self),
-            PLATFORM_HEADERS,
-            clock,
-            self.counters,
-            log,
-            ByteBudget(1 << 30),
-            *eligibility,
-        )
-        permits = SimpleNamespace(
-            admit=lambda team, done: done(True),
-            refund=lambda team, at: None,
-            level=lambda team: None,
-        )
-        self.forwarder = Forwarder(
-            self.view,
-            ServerSelector(SelectionSettings(), ZoneName("z"), fleet.source),
-            self.budget,
-            permits,
-            self.executor,
-            _Peers(fleet),
-            PLATFORM_HEADERS,
-            clock,
-            self.counters,
-            log,
-            fleet.source,
-            *eligibility,
-            *loads,
-        )
-        if fleet.chain_control:
-            self.forwarder.use_chain_control()
-        self.sweep()
-        self.update()
-
-    def sweep(self):
-        self.executor.sweep()
-        self.fleet.loop.call_later(0.05, self.sweep)
-
-    def update(self):
-        self.executor.update_depth()
-        self.fleet.loop.call_later(0.4, self.update)
-
-    def ask(self, path, key, timeout_ms, callback, repeats=False):
-        """Receive a request from a caller or from the backend server."""
-        request = CallerRequest(_Caller(callback))
-        request.host, request.path = "a.example", path
-        request.target, request.method = path.encode(), b"GET"
-        request.key, request.has_key = b"Token " + key.encode(), bool(key)
-        request.deadline_ms = timeout_ms
-        request.request_id = self.fleet.new_request_id(repeats)
-        request.started = self.fleet.loop.time()
-        self.fleet.count_request(self.service, path, key)
-        self.forwarder.handle(request)
-
-
 class Fleet:
     """All hosts, the callers and the tally."""
 
@@ -389,9 +90,9 @@
         self.source = random.Random(scenario.seed)
         self.ids, self.arrived, self.arrivals = 0, [], Counter()
         self.tally = Tally()
-        config = _configuration(scenario)
+        config = configuration(scenario)
         self.hosts = [
-            _Host(self, service, n, config)
+            Host(self, service, n, config)
             for service, count in HOSTS.items()
             for n in range(count)
         ]
@@ -425,30 +126,32 @@
         number = int(request_id)
         repeats = self.arrived[number]
         self.arrived[number] = True
-        part = int(2 * self.loop.time())
+        part = int(PARTS_PER_SECOND * self.loop.time())
         self.arrivals[service, "repeats" if repeats else "requests", part] += 1
         return repeats
 
     def budget_use(self, service):
-        """Largest part of the published retry budget that any window of 10 s used."""
+        """Largest part of the published retry budget that any window used."""
+        window = int(PARTS_PER_SECOND * RETRY_WINDOW_SECONDS)
+        end = self.scenario.end + DRAIN_SECONDS
 
         def count(name, last):
-            return sum(self.arrivals[service, name, last - n] for n in range(20))
+            return sum(self.arrivals[service, name, last - n] for n in range(window))
+
+        def allowed(last):
+            backs = (0, window // 2, window)
+            requests = max(count("requests", last - back) for back in backs)
+            return RETRY_RATIO * requests + self.scenario.retry_allowance
 
-        allowance = 91 * self.scenario.scale
         return max(
-            count("repeats", last)
-            / (
-                0.2 * max(count("requests", last - back) for back in (0, 10, 20))
-                + allowance
-            )
-            for last in range(20, int(2 * self.scenario.end) + 8)
+            count("repeats", last) / allowed(last)
+            for last in range(window, int(PARTS_PER_SECOND * end))
         )
 
     @property
     def in_stress(self):
-        scenario = self.scenario
-        return scenario.stress_from <= self.loop.time() < scenario.stress_to
+        """Whether the deepest service rejects requests now."""
+        return self.scenario.phase(self.loop.time()) == "stress"
 
     def record_waste(self, seconds):
         if self.in_stress:
@@ -471,20 +174,17 @@
         """Send one request of a caller, who comes back if refused."""
 
         def answered(status, retry_after):
-            stress = self.scenario.stress_from <= asked_at < self.scenario.stress_to
             if status == 503 and retry_after and tries < CLIENT_TRIES:
                 again = (kind, team, asked_at, tries + 1, path)
                 self.loop.call_later(retry_after, self.send, *again)
                 return
             key = (kind, team)
-            when = "stress" if stress else "calm"
-            if not stress and asked_at >= self.scenario.stress_to:
-                when = "after"
-            if when == "calm" and asked_at < 4.0:
+            phase = self.scenario.phase(asked_at)
+            if not phase:
                 return
-            self.tally.asked[when, *key] += 1
-            self.tally.served[when, *key] += status == 200
-            self.tally.statuses[when, kind, status] += 1
+            self.tally.asked[phase, *key] += 1
+            self.tally.served[phase, *key] += status == 200
+            self.tally.statuses[phase, kind, status] += 1
 
         entry = self.source.choice(self.entries)
         timeout_ms = int(1000 * TIMEOUTS[kind])
@@ -507,35 +207,6 @@
         self.loop.call_later(pause, self._caller, kind, team, mean)
 
 
-def _configuration(scenario):
-    def route(name, service, timeout, priority, public):
-        targets = (WeightedService(ServiceName(service), 1.0),)
-        return Route(
-            name,
-            "a.example",
-            f"/{name}/",
-            targets,
-            True,
-            timeout,
-            timeout / 2,
-            scenario.attempts,
-            priority,
-            public,
-        )
-
-    routes = [
-        route(kind, ENTRY[kind], TIMEOUTS[kind], PRIORITIES[kind], False)
-        for kind in RATES
-    ]
-    routes += [
-        route(service, service, 5.0, 1, True) for service in ("second", "third", "deep")
-    ]
-    teams = tuple(
-        Team(TeamId(name), frozenset({name}), None, 0.0, 0.0) for name in TEAMS
-    )
-    return FleetConfiguration(1, tuple(routes), teams)
-
-
 def run(scenario, chain_control):
     """Play a scenario and return its figures."""
     loop = VirtualLoop()
@@ -543,7 +214,7 @@
     fleet = Fleet(loop, scenario, chain_control)
     fleet.start_callers()
     before = resource.getrusage(resource.RUSAGE_SELF)
-    loop.run_until_complete(asyncio.sleep(scenario.end + 4.0))
+    loop.run_until_complete(asyncio.sleep(scenario.end + DRAIN_SECONDS))
     after = resource.getrusage(resource.RUSAGE_SELF)
     tally = fleet.tally
     decisions = sum(
