--- a/benchmarks/server_pace.py
+++ b/benchmarks/server_pace.py
@@ -15,14 +15,10 @@
 import types
 from collections.abc import Callable
 
-from benchmarks.placement_model import (
-    Attempt,
-    Chooser,
-    Kind,
-    ModelSettings,
-    PlacementModel,
-    ServerNode,
-)
+from benchmarks.placement_choosers import Chooser, SelectorChooser
+from benchmarks.placement_model import PlacementModel
+from benchmarks.placement_server import Attempt, ServerNode
+from benchmarks.placement_settings import Kind, ModelSettings
 from damaskramp.dispatch.load import Load
 from damaskramp.dispatch.load_exchange import ExchangeSettings, LoadExchange
 from damaskramp.dispatch.selection import ServerSelector
@@ -39,18 +35,19 @@
 """Relative spread of single statements of the pace, which change often."""
 
 
-class CurrentChooser(Chooser):
+class CurrentChooser(SelectorChooser):
     """Selection of this checkout, with the loads that hosts tell each other."""
 
     def __init__(
         self, settings: ModelSettings, zone: str, source: random.Random, servers_of
     ) -> None:
-        self._selector = ServerSelector(
+        selector = ServerSelector(
             SelectionSettings(),
             zone,
             source,
             round_trip=lambda other: 2 * settings.link_seconds(zone, other),
         )
+        super().__init__(selector)
         self._loads = LoadExchange(ExchangeSettings(), servers_of, source)
         self._servers_of = servers_of
 
@@ -58,10 +55,6 @@
         """Choose a server; None if none may be asked now."""
         return self._selector.choose(servers, excluded, kind.rank, now, kind=kind.name)
 
-    def sent(self, server, kind):
-        """Record that a request was sent."""
-        self._selector.record_sent(server)
-
     def ended(self, server, kind, failed, node, now):
         """Record the end of a request with the state of the server's node."""
         self._selector.record_end(server, failed)
@@ -69,10 +62,6 @@
         self._selector.record_load(server, load, now, kind.rank, kind.name)
         self._loads.record_answer(server, load, now)
 
-    def refused(self, server, kind, now):
-        """Record a refusal that was not meant to be fast."""
-        self._selector.record_refusal(server, kind.rank, now)
-
     def exchange(self, other, now):
         """Take what another host knows, as in the answer to a ping."""
         told = other._loads.collect(self._loads.services(now), now)
@@ -81,33 +70,6 @@
             self._selector.record_told_load(servers[load.server], load)
 
 
-class _EarlierChooser(Chooser):
-    """Selection of an earlier commit."""
-
-    def __init__(self, module: types.ModuleType, zone: str, source: random.Random):
-        self._selector = module.ServerSelector(module.SelectionSettings(), zone, source)
-
-    def choose(self, servers, excluded, kind, now):
-        """Choose a server; None if none may be asked now."""
-        return self._selector.choose(servers, excluded, kind.rank, now)
-
-    def sent(self, server, kind):
-        """Record that a request was sent."""
-        self._selector.record_sent(server)
-
-    def ended(self, server, kind, failed, node, now):
-        """Record the end of a request."""
-        self._selector.record_end(server, failed)
-        self._selector.record_load(server, node.queue.load, now, kind.rank)
-
-    def refused(self, server, kind, now):
-        """Record a refusal that was not meant to be fast."""
-        self._selector.record_refusal(server, kind.rank, now)
-
-    def exchange(self, other, now):
-        """Take nothing: earlier hosts told each other no loads."""
-
-
 class PaceNode:
     """What a server's node keeps of the server's pace."""
 
@@ -137,7 +99,7 @@
     model = None
 
     def servers_of(service: str) -> list[BackendServer]:
-        return model.eligible()
+        return model.servers
 
     model = PlacementModel(
         settings,
@@ -194,13 +156,18 @@
     parser.add_argument("--seeds", type=int, default=2)
     flags = parser.parse_args()
     module = earlier_selection(flags.commit)
+
+    def make_earlier(zone: str, source: random.Random) -> Chooser:
+        settings = module.SelectionSettings()
+        return SelectorChooser(module.ServerSelector(settings, zone, source))
+
     columns = (
         "lookup mean, p99 (ms) | order mean, p99 (ms) | in time: lookup order list"
     )
     print(f"scene | selection | {columns} | left zone | messages")
     for scene, settings in SCENES.items():
         for name, make in (
-            (flags.commit, lambda zone, source: _EarlierChooser(module, zone, source)),
+            (flags.commit, make_earlier),
             ("this checkout", None),
         ):
             results = [
--- a/damaskramp/dispatch/tests/test_evacuated_load.py
+++ b/damaskramp/dispatch/tests/test_evacuated_load.py
@@ -4,7 +4,9 @@
 
 from testtools import TestCase
 
-from benchmarks.placement_model import Chooser, ModelSettings, PlacementModel
+from benchmarks.placement_choosers import SelectorChooser
+from benchmarks.placement_model import PlacementModel
+from benchmarks.placement_settings import ModelSettings
 from damaskramp.dispatch import Eligibility, RegionSettings
 from damaskramp.dispatch.selection import ServerSelector
 from damaskramp.dispatch.selection_settings import SelectionSettings
@@ -16,29 +18,16 @@
 )
 
 
-class FilteringChooser(Chooser):
+class FilteringChooser(SelectorChooser):
     """Selection of an entry host that knows the evacuations."""
 
     def __init__(self, zone, random_source, evacuations, clock):
-        self._selector = ServerSelector(SelectionSettings(), zone, random_source)
+        super().__init__(ServerSelector(SelectionSettings(), zone, random_source))
         self._eligibility = Eligibility(RegionSettings(), zone, evacuations, clock)
 
     def choose(self, servers, excluded, kind, now):
         servers = self._eligibility.select(servers, ())
-        return self._selector.choose(servers, excluded, kind.rank, now)
-
-    def sent(self, server, kind):
-        self._selector.record_sent(server)
-
-    def ended(self, server, kind, failed, node, now):
-        self._selector.record_end(server, failed)
-        self._selector.record_load(server, node.queue.load, now, kind.rank)
-
-    def refused(self, server, kind, now):
-        self._selector.record_refusal(server, kind.rank, now)
-
-    def exchange(self, other, now):
-        pass
+        return super().choose(servers, excluded, kind, now)
 
 
 class TestEvacuatedLoad(TestCase):
--- a/damaskramp/dispatch/tests/test_expected_finish.py
+++ b/damaskramp/dispatch/tests/test_expected_finish.py
@@ -7,7 +7,7 @@
 
 from testtools import TestCase
 
-from benchmarks.placement_model import ModelSettings
+from benchmarks.placement_settings import ModelSettings
 from benchmarks.server_pace import make_model
 from damaskramp.dispatch import KnownLoad, Load, SelectionSettings, ServerSelector
 from damaskramp.dispatch.expected_finish import FinishSelection
