Test of recovery: bound on the requests to a cold server can fail

The model's servers crash at the twelfth request of a second and get none after that, so the bound of 16.25 always held. It is now checked on servers that do not crash. Planted fault that it catches, with the check of crashes taken out: a cold rate of 40 and no exact count give 42 requests in a second.

Tests: test_recovery, 5 passed.

--- a/damaskramp/dispatch/tests/test_recovery.py
+++ b/damaskramp/dispatch/tests/test_recovery.py
@@ -28,7 +28,9 @@
         for seed in (1, 2, 3):
             fleet = play(SETTINGS, seed=seed)
             self.assertEqual(0, sum(server.crashes for server in fleet.servers))
-            most = max(server.most_while_cold for server in fleet.servers)
+            # A server that crashes gets no more requests, which hides how many came.
+            sturdy = play(SETTINGS, seed=seed, until=4.0, tolerated=float("inf"))
+            most = max(server.most_while_cold for server in sturdy.servers)
             self.assertLessEqual(most, BOUND)
             after = 0.7 + RECOVERY_SECONDS
             self.assertGreaterEqual(fleet.share_served(after, 25.0), 0.25)
