Tests of limited and of cold servers share the play of a queue

PlayedServer repeated LimitedServer: offers, starts and ends of requests at a queue. Both use one class.

--- a/damaskramp/dispatch/tests/test_arrival_window.py
+++ b/damaskramp/dispatch/tests/test_arrival_window.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from damaskramp.dispatch.arrival_window import SPAN_SECONDS, ArrivalWindow
-from damaskramp.dispatch.tests.cold_play import most_in_second
+from damaskramp.dispatch.tests.cold_servers import most_in_second
 
 
 class TestArrivalWindow(TestCase):
--- a/damaskramp/dispatch/tests/test_cold_knowledge.py
+++ b/damaskramp/dispatch/tests/test_cold_knowledge.py
@@ -14,7 +14,7 @@
     ServerRateSettings,
     Warmth,
 )
-from damaskramp.dispatch.tests.cold_play import (
+from damaskramp.dispatch.tests.cold_servers import (
     RATE,
     cold_server,
     entry,
--- a/damaskramp/dispatch/tests/test_cold_server.py
+++ b/damaskramp/dispatch/tests/test_cold_server.py
@@ -13,15 +13,15 @@
     WarmupSettings,
 )
 from damaskramp.dispatch.arrival_window import SPAN_SECONDS
-from damaskramp.dispatch.tests.cold_play import (
+from damaskramp.dispatch.tests.cold_servers import (
     RATE,
     WARMUP,
-    PlayedServer,
     cold_server,
     entry,
     most_in_second,
     warm_server,
 )
+from damaskramp.dispatch.tests.played_server import PlayedServer
 from damaskramp.fleet import ServiceWarmup
 
 BOUND = 16.25
