Dispatch: methods and parameters that nothing used, and repeated code

Unused in the product: RetryBudget.spend (four tests now ask decide, as the product does), RunningRequests.makers, WeightedQueue.cost, ChainAdmission.share, and the parameter 'matches' of _infer_by_agreement, which was always 0. Counts by service and rank are default dicts; removal of a waiting request, and of a refusal, is written once; conditions that were tested twice are tested once.

--- a/damaskramp/dispatch/attempts.py
+++ b/damaskramp/dispatch/attempts.py
@@ -191,11 +191,9 @@
         wait : float
             Seconds until the request is expected to find room.
         """
-        if wait <= 0.0 and self.warmup_left <= 0.0:
-            return 0.0
         if self.warmup_left > 0.0:
             return warmup_retry_after(wait, self.warmup_left, random_source)
-        return jittered_retry_after(wait, random_source)
+        return jittered_retry_after(wait, random_source) if wait > 0.0 else 0.0
 
     def should_fail_fast(self, others: int, body_bytes: int) -> bool:
         """Whether the next server should refuse the request rather than queue it long.
--- a/damaskramp/dispatch/chain_admission.py
+++ b/damaskramp/dispatch/chain_admission.py
@@ -20,7 +20,7 @@
 
 from damaskramp.dispatch.pressure import PressureEntry
 
-__all__ = ["ChainAdmission", "expected_success"]
+__all__ = ["ChainAdmission"]
 
 RETURN_CREDIT = 0.5
 """Part of the credit of a new request at which one that was refused before passes."""
@@ -169,11 +169,6 @@
             return True
         return self._passes(share, now, returns)
 
-    def share(self, kind: str, rank: int) -> float:
-        """Share of a kind and rank of requests that is let through now."""
-        share = self._shares.get((kind, rank))
-        return share.value if share is not None else 1.0
-
     def _passes_after_stress(
         self, kind: str, rank: int, share: _Share, now: float, returns: bool
     ) -> bool:
--- a/damaskramp/dispatch/chain_pressure.py
+++ b/damaskramp/dispatch/chain_pressure.py
@@ -89,20 +89,9 @@
         if lost:
             self.calls_per_run.record_failed_call(route)
 
-    def own_entry(self, now: float) -> tuple[PressureEntry, ...]:
-        """Pressure of this host's own service; empty without stress."""
-        fail = self._own.share(now)
-        if fail < MIN_SHARE:
-            return ()
-        age_ms = int(1000 * (now - self._own.last_at))
-        return (PressureEntry(self._service, 1.0, round(fail, 3), 0.0, 0.0, age_ms),)
-
     def stated(self, kind: str, now: float) -> tuple[PressureEntry, ...]:
         """Pressure on a kind of requests that is stated to their senders."""
-        below = self.on_kind(kind, now)
-        if self._own.share(now) < MIN_SHARE:
-            return below
-        return self.own_entry(now) + below
+        return self._own_entry(now) + self.on_kind(kind, now)
 
     def on_kind(self, kind: str, now: float) -> tuple[PressureEntry, ...]:
         """Pressure on the chain of a kind of requests, below this host's service."""
@@ -124,6 +113,14 @@
         """Whether the calls of a kind of requests are known."""
         return bool(self.calls_per_run.of_kind(kind))
 
+    def _own_entry(self, now: float) -> tuple[PressureEntry, ...]:
+        """Pressure of this host's own service; empty without stress."""
+        fail = self._own.share(now)
+        if fail < MIN_SHARE:
+            return ()
+        age_ms = int(1000 * (now - self._own.last_at))
+        return (PressureEntry(self._service, 1.0, round(fail, 3), 0.0, 0.0, age_ms),)
+
     def _entries_of(
         self, called: _Called, calls: float, now: float
     ) -> list[PressureEntry]:
--- a/damaskramp/dispatch/expected_finish.py
+++ b/damaskramp/dispatch/expected_finish.py
@@ -243,12 +243,9 @@
     ) -> tuple[float, BackendServer] | None:
         if not servers:
             return None
-        if len(servers) > samples:
-            servers = self._random.sample(servers, samples)
-        else:
-            servers = self._random.sample(servers, len(servers))
+        compared = self._random.sample(servers, min(samples, len(servers)))
         return min(
-            ((self._finish(s, rank, kind, now, state(s)), s) for s in servers),
+            ((self._finish(s, rank, kind, now, state(s)), s) for s in compared),
             key=lambda pair: pair[0],
         )
 
--- a/damaskramp/dispatch/ranked_repeats.py
+++ b/damaskramp/dispatch/ranked_repeats.py
@@ -19,6 +19,8 @@
 (True, False)
 """
 
+from collections import defaultdict
+
 from damaskramp.dispatch.window_counts import PARTS_PER_WINDOW, WindowCounts
 
 __all__ = ["RankedRepeats"]
@@ -33,16 +35,16 @@
     """Repeats of one service that each rank wanted and spent."""
 
     def __init__(self) -> None:
-        self._wanted: dict[int, WindowCounts] = {}
-        self._spent: dict[int, WindowCounts] = {}
+        self._wanted: dict[int, WindowCounts] = defaultdict(WindowCounts)
+        self._spent: dict[int, WindowCounts] = defaultdict(WindowCounts)
 
     def record_wanted(self, rank: int, part: int) -> None:
         """Record that a request of a rank wants a repeat."""
-        self._counts(self._wanted, rank).add(part)
+        self._wanted[rank].add(part)
 
     def record_spent(self, rank: int, part: int) -> None:
         """Record that a request of a rank is repeated."""
-        self._counts(self._spent, rank).add(part)
+        self._spent[rank].add(part)
 
     def reserved_above(self, rank: int, part: int) -> float:
         """Number of repeats that the higher ranks are expected to need further."""
@@ -70,11 +72,4 @@
         return PARTS_PER_WINDOW * max(counts)
 
     def _spent_by(self, rank: int, part: int) -> float:
-        spent = self._spent.get(rank)
-        return spent.sum(part - PARTS_PER_WINDOW, part) if spent is not None else 0.0
-
-    def _counts(self, table: dict[int, WindowCounts], rank: int) -> WindowCounts:
-        counts = table.get(rank)
-        if counts is None:
-            counts = table[rank] = WindowCounts()
-        return counts
+        return self._spent[rank].sum(part - PARTS_PER_WINDOW, part)
--- a/damaskramp/dispatch/retry_after.py
+++ b/damaskramp/dispatch/retry_after.py
@@ -15,7 +15,6 @@
 MAX_RETRY_AFTER_SECONDS = 5.0
 """Seconds after which callers of interactive requests no longer wait."""
 
-
 RETURN_SECONDS = 2.0
 """Time after a warm-up, in seconds, over which the last refused callers return. Without
 it, most of those who are refused again shortly before the end would return at once."""
--- a/damaskramp/dispatch/retry_budget.py
+++ b/damaskramp/dispatch/retry_budget.py
@@ -16,6 +16,7 @@
 lower rank may spend only what the higher ones are not expected to need.
 """
 
+from collections import defaultdict
 from dataclasses import dataclass
 from enum import Enum
 
@@ -112,9 +113,9 @@
         self._settings = settings
         self._draw = draw
         self._hosts = 1
-        self._requests: dict[ServiceName, WindowCounts] = {}
-        self._repeats: dict[ServiceName, WindowCounts] = {}
-        self._ranked: dict[ServiceName, RankedRepeats] = {}
+        self._requests: dict[ServiceName, WindowCounts] = defaultdict(WindowCounts)
+        self._repeats: dict[ServiceName, WindowCounts] = defaultdict(WindowCounts)
+        self._ranked: dict[ServiceName, RankedRepeats] = defaultdict(RankedRepeats)
 
     def reconfigure(self, settings: RetryBudgetSettings) -> None:
         """Take a new bound; the counts stay unless the length of the window changes."""
@@ -140,14 +141,9 @@
             from 0 to 1.
         """
         part = self._part(now)
-        self._counts(self._requests, service).add(part)
+        self._requests[service].add(part)
         if repeat_share > 0:
-            self._counts(self._repeats, service).add(part, repeat_share)
-
-    def spend(self, service: ServiceName, now: float, depth: int = 0) -> bool:
-        """Spend one repeat of unknown rank; False if the budget has none left."""
-        decision = self.decide(service, now, depth, UNKNOWN_RANK)
-        return decision is SpendDecision.ALLOWED
+            self._repeats[service].add(part, repeat_share)
 
     def decide(
         self, service: ServiceName, now: float, depth: int, rank: int
@@ -164,11 +160,11 @@
             left.
         """
         part = self._part(now)
-        repeats = self._counts(self._repeats, service)
+        repeats = self._repeats[service]
         spent = repeats.sum(part - PARTS_PER_WINDOW, part)
         room = self._allowed(service, part, depth) + self._draw - spent
         if rank != UNKNOWN_RANK:
-            ranked = self._ranked.setdefault(service, RankedRepeats())
+            ranked = self._ranked[service]
             ranked.record_wanted(rank, part)
         if room < 1:
             return SpendDecision.BUDGET
@@ -187,7 +183,7 @@
     def _allowed(self, service: ServiceName, part: int, depth: int) -> float:
         """Number of repeats in a window that this host may spend."""
         settings = self._settings
-        requests = self._counts(self._requests, service)
+        requests = self._requests[service]
         # Demand may fall while a service fails, so the window before counts if it had
         # more requests.
         recent = requests.sum(part - PARTS_PER_WINDOW + 1, part)
@@ -200,11 +196,3 @@
 
     def _part(self, now: float) -> int:
         return int(now * PARTS_PER_WINDOW / self._settings.window)
-
-    def _counts(
-        self, table: dict[ServiceName, WindowCounts], service: ServiceName
-    ) -> WindowCounts:
-        counts = table.get(service)
-        if counts is None:
-            counts = table[service] = WindowCounts()
-        return counts
--- a/damaskramp/dispatch/return_order.py
+++ b/damaskramp/dispatch/return_order.py
@@ -110,13 +110,7 @@
         if not self._refused:
             return None
         self._forget_old(now)
-        entries = self._refused.get(fingerprint)
-        if entries is None:
-            return None
-        _, returned = entries.popleft()
-        if not entries:
-            del self._refused[fingerprint]
-        return returned
+        return self._pop(fingerprint) if fingerprint in self._refused else None
 
     def _forget_old(self, now: float) -> None:
         order = self._order
@@ -126,6 +120,12 @@
             at, fingerprint = order.popleft()
             entries = self._refused.get(fingerprint)
             if entries is not None and entries[0][0] <= at:
-                entries.popleft()
-                if not entries:
-                    del self._refused[fingerprint]
+                self._pop(fingerprint)
+
+    def _pop(self, fingerprint: int) -> Return:
+        """Remove the oldest refusal of a fingerprint that has one."""
+        entries = self._refused[fingerprint]
+        _, returned = entries.popleft()
+        if not entries:
+            del self._refused[fingerprint]
+        return returned
--- a/damaskramp/dispatch/running_requests.py
+++ b/damaskramp/dispatch/running_requests.py
@@ -84,6 +84,8 @@
         Name of the request's route.
     deadline : float
         Clock time in seconds of the deadline that was handed to the server.
+    lineage : Lineage
+        Properties that the calls of the request inherit.
     """
 
     __slots__ = ("deadline", "kind", "lineage")
@@ -162,11 +164,11 @@
             Milliseconds that the call states.
         """
         if deadline is None:
-            return self._infer_by_agreement(route, 0)
+            return self._infer_by_agreement(route)
         found = self._match(deadline)
         is_own_limit = self._stated_times.record(route, stated_ms, bool(found))
         if is_own_limit or not found:
-            return self._infer_by_agreement(route, 0)
+            return self._infer_by_agreement(route)
         parent = self._single_parent(found, deadline)
         if parent is not None:
             self._record_maker(route, parent.kind)
@@ -176,10 +178,6 @@
         confidence = Confidence.AGREED if known else Confidence.NONE
         return Inference(lineage, confidence, _common_kind(found), len(found))
 
-    def makers(self, route: str) -> dict[str, int]:
-        """Sure matches of a route's calls, by the kind of request that made them."""
-        return self._makers.get(route, {})
-
     def _single_parent(
         self, found: list[StartedRequest], deadline: float
     ) -> StartedRequest | None:
@@ -206,7 +204,7 @@
         end = bisect_right(self._deadlines, deadline + MATCH_EARLY_SECONDS, lo=first)
         return self._requests[first:end]
 
-    def _infer_by_agreement(self, route: str, matches: int) -> Inference:
+    def _infer_by_agreement(self, route: str) -> Inference:
         """Infer what all running requests that can have made the call agree on."""
         rank, team = None, None
         for kind, roots in self._roots.items():
@@ -219,7 +217,7 @@
                     return NO_INFERENCE
         if rank is None or (rank == UNKNOWN_RANK and not team):
             return NO_INFERENCE
-        return Inference(Lineage(rank, team), Confidence.AGREED, "", matches)
+        return Inference(Lineage(rank, team), Confidence.AGREED)
 
     def _is_excluded(self, kind: str, route: str) -> bool:
         makers = self._makers.get(route)
--- a/damaskramp/dispatch/slots.py
+++ b/damaskramp/dispatch/slots.py
@@ -37,7 +37,6 @@
 INITIAL_SERVICE_SECONDS = 0.02
 """Mean run time, in seconds, that is assumed before the first runs have ended."""
 
-
 SLOWER_FACTOR = 1.4
 """Change of the pace from which a server counts as having become slow; statements of a
 server that is as fast as usual vary by less."""
@@ -164,8 +163,7 @@
                 else:
                     ahead += work.cost
         for work in released:
-            self._bounds.change_held(work, -1)
-            self._queues.remove(work)
+            self._remove_waiting(work)
         return released
 
     def estimated_retry_wait(self, is_call: bool, priority: int) -> float:
@@ -275,8 +273,7 @@
     def cancel(self, work: Work, now: float) -> None:
         """Remove a request that waits or runs."""
         if work.state == "waiting":
-            self._bounds.change_held(work, -1)
-            self._queues.remove(work)
+            self._remove_waiting(work)
         else:
             self.finish(work, now)
 
@@ -318,10 +315,13 @@
             if self._max_wait(work, now) < 0
         ]
         for work in late:
-            self._bounds.change_held(work, -1)
-            self._queues.remove(work)
+            self._remove_waiting(work)
         return late
 
+    def _remove_waiting(self, work: Work) -> None:
+        self._bounds.change_held(work, -1)
+        self._queues.remove(work)
+
     def _max_wait(self, work: Work, now: float) -> float:
         # The request that made a call needs the answer until the deadline. A new
         # request that misses its latency target has lost most of its value.
--- a/damaskramp/dispatch/tests/test_decisions.py
+++ b/damaskramp/dispatch/tests/test_decisions.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from damaskramp.dispatch import (
+    UNKNOWN_RANK,
     CallDepths,
     Death,
     Load,
@@ -15,6 +16,7 @@
     RetryBudgetSettings,
     SelectionSettings,
     ServerSelector,
+    SpendDecision,
     Suspects,
     SuspectSettings,
 )
@@ -22,6 +24,12 @@
 from damaskramp.fleet import BackendServer
 
 
+def spend(budget, service, now, depth=0):
+    """Spend a repeat of unknown rank; return whether the budget allows it."""
+    decision = budget.decide(service, now, depth, UNKNOWN_RANK)
+    return decision is SpendDecision.ALLOWED
+
+
 def server(name, zone="a", leaving=False):
     return BackendServer(
         name, "draws", f"10.0.0.{name}:80", zone, 20, leaving, 0.0, 0, 1
@@ -129,7 +137,7 @@
                 budget.resize(hosts)
                 for n in range(requests):
                     budget.record_request("draws", 0.1 * n)
-                spent += sum(budget.spend("draws", 1.0) for _ in range(9))
+                spent += sum(spend(budget, "draws", 1.0) for _ in range(9))
             self.assertLess(0.8 * hosts * part, spent)
             self.assertLess(spent, 1.2 * hosts * part)
             bound = settings.ratio * hosts * requests + settings.allowance
@@ -152,7 +160,7 @@
             if not is_repeat:
                 budgets[host].record_request("draws", now)
                 requests.append(now)
-            elif budgets[host].spend("draws", now):
+            elif spend(budgets[host], "draws", now):
                 repeats.append(now)
         for end in repeats:
             held = sum(end - 10.0 < at <= end for at in repeats)
@@ -194,7 +202,7 @@
             run(service, is_repeat, share, now)
             # Three requests in ten fail and are sent to a second server if the budget
             # allows it.
-            if source.random() < 0.3 and budgets[place].spend(service, now):
+            if source.random() < 0.3 and spend(budgets[place], service, now):
                 arrivals[service].append((now, True))
                 run(service, True, 1.0, now)
 
@@ -258,7 +266,7 @@
             depths[place].record_reported_depth(service, depth, now)
             failed = source.random() < fails(service)
             level = depths[place].depth_of(service)
-            if failed and budgets[place].spend(service, now, level):
+            if failed and spend(budgets[place], service, now, level):
                 arrivals[service].append((now, True))
                 run(service, True, 1.0, now)
 
--- a/damaskramp/dispatch/weighted_queue.py
+++ b/damaskramp/dispatch/weighted_queue.py
@@ -17,10 +17,10 @@
     next request first.
     """
 
-    def __init__(self, weight: float, team_weights: TeamWeights | None = None) -> None:
+    def __init__(self, weight: float, team_weights: TeamWeights) -> None:
         self.weight = weight
         self.virtual_time = 0.0
-        self._team_weights = team_weights or TeamWeights()
+        self._team_weights = team_weights
         self._ranks: dict[int, TeamQueue] = {}
 
     @property
@@ -38,10 +38,6 @@
         """All waiting requests."""
         return [work for queue in self._ranks.values() for work in queue.waiting]
 
-    def cost(self, priority: int) -> float:
-        """Sum of expected run times of the requests ahead of one of this priority."""
-        return sum(q.cost for rank, q in self._ranks.items() if rank <= priority)
-
     def cost_ahead(self, priority: int, team: str) -> float:
         """Sum of expected run times ahead of one of this priority and team."""
         higher = sum(q.cost for rank, q in self._ranks.items() if rank < priority)
