Tests of dispatch that passed with the fault that they name

Two checks of the choice among cold servers passed without any delay of first requests: one had a single server to choose from, the other had idle ones beside the cold server. Both now have busy servers beside it. New tests for three statements of the code that no test covered.

--- a/damaskramp/dispatch/tests/test_chain_admission.py
+++ b/damaskramp/dispatch/tests/test_chain_admission.py
@@ -104,6 +104,18 @@
         self.assertGreater(play.refused["lookups"], 0)
         self.assertLess(play.refused_after, 1.0)
 
+    def test_a_small_share_goes_through_in_any_stress(self):
+        """Without any request the end of the stress would not be seen."""
+        admission = ChainAdmission()
+        entry = PressureEntry("deep", 8.0, 0.95, 0.95, 1.0, 0)
+        admitted = [
+            admission.admits("lookups", 2, (entry,), at / 100) for at in range(1000)
+        ]
+        for second in range(10):
+            count = sum(admitted[100 * second : 100 * second + 100])
+            self.assertGreaterEqual(count, 3)
+            self.assertLess(count, 10)
+
     def test_a_light_stress_refuses_nobody(self):
         """Repeats are enough for all, so a refusal would only lose goodput."""
         play = _Play(ChainAdmission(), reject_share=0.1).run()
--- a/damaskramp/dispatch/tests/test_cold_hints.py
+++ b/damaskramp/dispatch/tests/test_cold_hints.py
@@ -60,6 +60,8 @@
         first_requests = 0
         for host in range(200):
             chooser = selector(seed=host, hosts=200)
+            for busy in servers[1:]:
+                chooser.record_load(busy, Load(19, 19, 19, 0.1), 0.0, 1)
             for _ in range(20):
                 chosen = chooser.choose(servers, (), 1, 0.0)
                 chooser.record_sent(chosen, 1)
@@ -87,7 +89,10 @@
     def test_warm_servers_and_other_services_are_not_delayed(self):
         for warmups, warmup in (({}, 3.0), (WARMUPS, 0.0)):
             chooser = selector(hosts=200, warmups=warmups)
-            self.assertEqual("a", chooser.choose([server("a", warmup)], (), 1, 0.0).id)
+            # A busy server without a limit would be chosen rather than wait for "a".
+            servers = [server("a", warmup), server("busy")]
+            chooser.record_load(servers[1], Load(19, 19, 19, 0.1), 0.0, 1)
+            self.assertEqual("a", chooser.choose(servers, (), 1, 0.0).id)
             self.assertEqual(0.0, chooser.warmup_left([server("a", warmup)], 0.0))
 
     def test_report_of_the_node_replaces_the_entry(self):
--- a/damaskramp/dispatch/tests/test_retry_after.py
+++ b/damaskramp/dispatch/tests/test_retry_after.py
@@ -77,5 +77,13 @@
         self.assertIsNotNone(callers.take(19_999, 2.0))
         self.assertIsNone(callers.take(19_998, 30.0))
 
+    def test_forgetting_an_earlier_refusal_keeps_a_later_one(self):
+        """Requests with equal fingerprints are refused and return again and again."""
+        callers = RefusedCallers()
+        callers.record(7, None, 1.0)
+        callers.take(7, 2.0)
+        callers.record(7, None, 9.0)
+        self.assertIsNotNone(callers.take(7, 11.5))
+
     def test_an_empty_start_treats_a_return_as_new(self):
         self.assertIsNone(RefusedCallers().take(7, 1.0))
--- a/damaskramp/dispatch/tests/test_team_shares.py
+++ b/damaskramp/dispatch/tests/test_team_shares.py
@@ -9,7 +9,9 @@
 from testtools import TestCase
 
 from damaskramp.dispatch import Work
+from damaskramp.dispatch.team_shares import TeamWeights
 from damaskramp.dispatch.tests.test_slots import Simulation, poisson
+from damaskramp.dispatch.weighted_queue import WeightedQueue
 
 SLOTS, SECONDS = 10, 0.1
 CAPACITY = 9 / SECONDS
@@ -72,6 +74,23 @@
         served = self.play({"": 150.0, "known": 50.0}, is_call=True)
         self.assertAlmostEqual(3.0, served[""] / served["known"], delta=1.0)
 
+    def test_a_team_that_did_not_wait_gets_no_credit(self):
+        """A team that comes late would else hold up all the others."""
+        queue = WeightedQueue(1.0, TeamWeights())
+        started = []
+        for team, starts in (("early", 20), ("late", 20)):
+            for _ in range(40):
+                work = Work("entry", False, 2, 9.0, 9.0)
+                work.team, work.cost = team, 0.1
+                queue.push(work)
+            for _ in range(starts):
+                work = queue.head()
+                queue.remove(work)
+                queue.charge(work, work.cost)
+                started.append(work.team)
+        self.assertEqual(["early"] * 20, started[:20])
+        self.assertIn(started[20:].count("late"), (9, 10, 11))
+
     def test_an_empty_start_treats_all_alike(self):
         served = self.play({"first": 100.0, "second": 100.0})
         self.assertAlmostEqual(1.0, served["first"] / served["second"], delta=0.1)
