--- a/damaskramp/dispatch/tests/test_slots.py
+++ b/damaskramp/dispatch/tests/test_slots.py
@@ -273,6 +273,15 @@
         total = sum(sum(each) for each in served.values())
         self.assertGreater(total, 0.9 * 95 * 20)
 
+    def started_after(self, queue, running):
+        """End the request on the only slot, and the others as they start."""
+        started = []
+        queue.finish(running, 0.02, True)
+        while found := list(queue.next_runs(0.02)):
+            started += found
+            queue.finish(found[0], 0.02, True)
+        return started
+
     def test_calls_of_advanced_roots_start_first(self):
         queue = SlotQueue(SlotSettings(), 1)
         running = call(0.0)
@@ -281,11 +290,7 @@
         for work, order in zip(waiting, (1.5, 0.4, 0.9), strict=True):
             work.order = order
             self.assertIs(QueueDecision.WAIT, queue.offer(work, 0.01))
-        queue.finish(running, 0.02, True)
-        started = []
-        while found := list(queue.next_runs(0.02)):
-            started += found
-            queue.finish(found[0], 0.02, True)
+        started = self.started_after(queue, running)
         self.assertEqual([waiting[1], waiting[2], waiting[0]], started)
 
     def test_calls_of_unknown_roots_keep_the_order_of_their_targets(self):
@@ -295,9 +300,5 @@
         waiting = [call(at) for at in (0.012, 0.010, 0.011)]
         for work in waiting:
             self.assertIs(QueueDecision.WAIT, queue.offer(work, 0.012))
-        queue.finish(running, 0.02, True)
-        started = []
-        while found := list(queue.next_runs(0.02)):
-            started += found
-            queue.finish(found[0], 0.02, True)
+        started = self.started_after(queue, running)
         self.assertEqual([waiting[1], waiting[2], waiting[0]], started)
