Expected finish: told paces are compared with known ones in one place

ServerSelector.record_told_load drops what is not newer than the last report, which is never older than the pace kept here, so the second comparison always held.

Tests: test_expected_finish, 13 passed; without the comparison of the selector, one fails.

--- a/damaskramp/dispatch/expected_finish.py
+++ b/damaskramp/dispatch/expected_finish.py
@@ -177,12 +177,11 @@
             self._run_times.record(kind, load.run_time)
 
     def record_pace(self, server: ServerId, pace: float, stated_at: float) -> None:
-        """Record a pace that another host has told."""
+        """Record a pace that another host has told, newer than what is known."""
         record = self._records.get(server)
         if record is None:
             record = self._add_record(server)
-        if stated_at > record.stated_at:
-            record.pace, record.stated_at = pace, stated_at
+        record.pace, record.stated_at = pace, stated_at
 
     def retain(self, known: Collection[ServerId]) -> None:
         """Drop the records of other servers."""
