Cold server: the interval of checks alone keeps the verification to one check

_is_verified could only differ from what the interval of 0.5 s does if a check of the last 0.25 s of a warm-up was followed by a further one within 0.35 s. Where a configuration lengthens an assumed warm-up after such a check, its new end is now verified.

--- a/damaskramp/dispatch/cold_server.py
+++ b/damaskramp/dispatch/cold_server.py
@@ -61,7 +61,8 @@
 
 VERIFICATION_SECONDS = 0.25
 """Time before the end of a warm-up, in seconds, at which a health check verifies it. A
-server without requests may stay cold for longer than its entry said."""
+server without requests may stay cold for longer than its entry said. One check
+is made, as this and `END_MARGIN_SECONDS` are less than `CHECK_INTERVAL_SECONDS`."""
 
 RESERVED_FOR_CHECKS = 1
 """Requests a second left for health checks, which count as requests."""
@@ -105,7 +106,6 @@
         self._stated_server = UNKNOWN_SERVER
         self._last_check_at = float("-inf")
         self._check_wanted = True
-        self._is_verified = False
 
     @property
     def is_limited(self) -> bool:
@@ -265,14 +265,11 @@
         left = self.seconds_left(now)
         if left <= 0.0 or now < self._last_check_at + CHECK_INTERVAL_SECONDS:
             return False
-        return self._check_wanted or (
-            left <= VERIFICATION_SECONDS and not self._is_verified
-        )
+        return self._check_wanted or left <= VERIFICATION_SECONDS
 
     def record_check(self, now: float) -> None:
         """Record that a health check is made."""
         self._last_check_at = now
-        self._is_verified = self.seconds_left(now) <= VERIFICATION_SECONDS
         self._window.record_check(now)
 
     def record_health(self, answer: HealthAnswer, asked_at: float, now: float) -> None:
@@ -290,9 +287,7 @@
         self._stated_server = answer.server
         self._is_assumed = False
         if answer.warmup_left > 0.0:
-            verified = self._is_verified and answer.warmup_left <= VERIFICATION_SECONDS
             self._limit_until(now + answer.warmup_left)
-            self._is_verified = verified
         else:
             self._limited_until = now
             self._has_ramp = was_cold
@@ -313,7 +308,6 @@
     def _limit_until(self, warm_at: float) -> None:
         self._limited_until = warm_at + END_MARGIN_SECONDS
         self._has_ramp = True
-        self._is_verified = False
 
 
 def _is_newer_start(server: BackendServer, known: tuple[ServerId, int] | None) -> bool:
