--- a/damaskramp/dispatch/tests/test_cold_knowledge.py
+++ b/damaskramp/dispatch/tests/test_cold_knowledge.py
@@ -35,6 +35,14 @@
         self.assertTrue(all(b <= 1.4 * a for a, b in itertools.pairwise(limited)))
         self.assertIsNone(rates[32])
 
+    def test_rate_grows_after_an_answer_that_ends_a_known_warmup(self):
+        cold = warm_server()
+        cold.record_entry(entry(), 2.0, 10.0)
+        cold.record_health(HealthAnswer(warmup_left=0.0), 11.0, 11.0)
+        self.assertIs(Warmth.WARM, cold.warmth(11.0))
+        self.assertEqual(RATE, cold.rate(11.0))
+        self.assertIsNone(cold.rate(12.0))
+
     def test_server_found_warm_is_not_limited(self):
         cold = cold_server()
         cold.record_health(HealthAnswer(warmup_left=0.0), 0.5, 0.5)
@@ -72,6 +80,19 @@
         self.assertIs(Warmth.ASSUMED_COLD, cold.warmth(16.9))
         self.assertIs(Warmth.WARM, cold.warmth(17.2))
 
+    def test_failure_does_not_shorten_a_known_warmup(self):
+        cold = warm_server()
+        cold.record_entry(entry(), 6.0, 10.0)
+        cold.assume_cold(10.5)
+        self.assertIsNot(Warmth.WARM, cold.warmth(16.0))
+        self.assertIs(Warmth.WARM, cold.warmth(16.2))
+
+    def test_assumption_that_no_check_decides_is_taken_as_lasting(self):
+        cold = warm_server()
+        cold.record_break(10.0)
+        self.assertTrue(cold.is_unsettled(10.9))
+        self.assertFalse(cold.is_unsettled(11.0))
+
     def test_health_answer_decides(self):
         cold = warm_server()
         cold.assume_cold(10.0)
--- a/damaskramp/dispatch/tests/test_cold_server.py
+++ b/damaskramp/dispatch/tests/test_cold_server.py
@@ -76,6 +76,20 @@
             if overshoot > 1.0:
                 self.assertGreaterEqual(len(server.reads), 0.8 * 10.9 * rate)
 
+    def test_slack_is_left_for_what_was_sent_to_the_warm_server(self):
+        settings = WarmupSettings(1.0, 8.0)
+        server = PlayedServer(
+            cold_server(warmup=ServiceWarmup(RATE, 20.0), settings=settings)
+        )
+        server.play({(False, 1): 100.0}, 0.0, 10.0)
+        self.assertLessEqual(most_in_second(server.reads), 7)
+
+    def test_health_checks_count_and_one_is_reserved(self):
+        cold = cold_server()
+        self.assertEqual(int(BOUND) - 1, cold.room(2.0))
+        cold.record_check(2.0)
+        self.assertEqual(int(BOUND) - 2, cold.room(2.0))
+
     def test_bound_below_one_request_allows_none(self):
         cold = cold_server(
             warmup=ServiceWarmup(0.25, 5.0), settings=WarmupSettings(1.5, 0.5)
