--- a/damaskramp/dispatch/two_queues.py
+++ b/damaskramp/dispatch/two_queues.py
@@ -40,9 +40,7 @@
 
     def push(self, work: Work) -> None:
         """Add a request whose `cost` is its expected run time in seconds."""
-        own, other = self._calls, self._new_requests
-        if not work.is_call:
-            own, other = other, own
+        own, other = self.both if work.is_call else (self._new_requests, self._calls)
         if own.is_empty and not other.is_empty:
             # A queue that was empty gets no credit for the slots that it did not use.
             own.virtual_time = max(own.virtual_time, other.virtual_time)
