Remove accessors that only tests used

CallerListener.memory, _memory_waiters and release_memory, and ServerConnections.held_bytes, were called by tests alone, and the pool kept both its budget and the queue that holds it. Tests use the objects themselves; their assertions are unchanged.

Tests: damaskramp/relay/tests, tests/test_relay_{uploads,memory,fuzz, endless_answers,links}.py pass.

--- a/damaskramp/relay/backend_connection.py
+++ b/damaskramp/relay/backend_connection.py
@@ -39,6 +39,8 @@
 
     Attributes
     ----------
+    memory : MemoryQueue
+        Memory for the bodies of answers.
     read_buffer : memoryview
         Buffer that every connection is read into, one at a time.
     on_idle_closed : callable
@@ -62,16 +64,10 @@
         self._tasks: set[asyncio.Task] = set()
         self.names = names
         self.counters = counters
-        self.memory = memory
         self.on_idle_closed: Callable[[], None] = lambda: None
-        self.memory_queue = MemoryQueue(memory)
+        self.memory = MemoryQueue(memory)
         self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
 
-    @property
-    def held_bytes(self) -> int:
-        """Bytes of bodies of answers that are arriving or being passed on."""
-        return self.memory.used
-
     def update_idle_timeout(self, keep_alive: bytes) -> None:
         """Adopt the idle timeout from the value of the server's Keep-Alive field."""
         for part in keep_alive.split(b","):
--- a/damaskramp/relay/caller_listener.py
+++ b/damaskramp/relay/caller_listener.py
@@ -1,14 +1,13 @@
 """Listener for callers, with the registry of their connections."""
 
-from collections import deque
 from collections.abc import Callable
 
-from damaskramp.core import Counters, MemoryShare
+from damaskramp.core import Counters
 from damaskramp.fleet.model import CallerLimits
 from damaskramp.relay.caller_buffers import ReadBuffer
 from damaskramp.relay.caller_connection import CallerConnection
 from damaskramp.relay.caller_context import CallerContext
-from damaskramp.relay.caller_memory import BodyWaiter, CallerMemory, CallerShares
+from damaskramp.relay.caller_memory import CallerMemory, CallerShares
 from damaskramp.relay.caller_request import RequestHandler
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.shedding import SheddingLog
@@ -41,15 +40,6 @@
         self.context = CallerContext(handler, names, clock, counters, self._memory)
         self._read_buffer = ReadBuffer()
 
-    @property
-    def memory(self) -> MemoryShare:
-        """Memory of bodies over 64 KiB."""
-        return self._memory.bodies.share
-
-    @property
-    def _memory_waiters(self) -> deque[BodyWaiter]:
-        return self._memory.bodies.waiters
-
     @property
     def unanswered(self) -> int:
         """Number of connections with an unanswered request."""
@@ -72,10 +62,6 @@
         """Close each connection after its next answer."""
         self.context.closing = True
 
-    def release_memory(self, size: int) -> None:
-        """Release the bytes of a body, and resume connections that wait for memory."""
-        self._memory.bodies.release(size)
-
     def sweep(self) -> None:
         """Close connections that have been idle, slow or stalled for too long."""
         now = self.context.clock()
--- a/damaskramp/relay/server_connection.py
+++ b/damaskramp/relay/server_connection.py
@@ -67,7 +67,7 @@
         self._reader = AnswerReader(
             pool.names,
             pool.counters,
-            pool.memory_queue,
+            pool.memory,
             pool.update_idle_timeout,
             self._advance,
             self._taker_gone,
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -75,9 +75,9 @@
         async def scenario(fleet):
             one = await fleet.ask("/a", request_id="q1", method="POST", body=b"x")
             pool = fleet.nodes[0]._executor._connections
-            held = pool.held_bytes
+            held = pool.memory.budget.used
             two = await fleet.ask("/a", request_id="q2", method="POST", body=b"x")
-            return one, two, held, pool.held_bytes, fleet.servers[0].connections
+            return one, two, held, pool.memory.budget.used, fleet.servers[0].connections
 
         got = self.run_scenario(scenario, config=ONCE, scripts=[script], **fields)
         return got, sum(sent)
@@ -107,14 +107,14 @@
 
         async def scenario(fleet):
             pool = fleet.nodes[0]._executor._connections
-            pool.memory.resize(4 * 1024 * 1024)
+            pool.memory.budget.resize(4 * 1024 * 1024)
             peak_bytes = []
             requests = [
                 asyncio.ensure_future(fleet.ask("/a", request_id=f"q{n}"))
                 for n in range(8)
             ]
             while not all(task.done() for task in requests):
-                peak_bytes.append(pool.held_bytes)
+                peak_bytes.append(pool.memory.budget.used)
                 await asyncio.sleep(0.001)
             return [task.result()[0] for task in requests], max(peak_bytes)
 
--- a/tests/test_relay_fuzz.py
+++ b/tests/test_relay_fuzz.py
@@ -80,7 +80,7 @@
             node = fleet.nodes[0]
             got = await fleet.ask("/a", request_id="last")
             await fleet.until(lambda: not node._listener.connections)
-            held = node._listener.memory.used, node._executor._memory.used
+            held = node._listener._memory.bodies.share.used, node._executor._memory.used
             ended_tasks = [task for task in node._tasks if task.done()]
             return got[0], held, ended_tasks
 
--- a/tests/test_relay_links.py
+++ b/tests/test_relay_links.py
@@ -50,9 +50,9 @@
     """Return the bytes that the nodes hold for bodies, by node."""
     budgets = [
         (
-            node._listener.memory,
+            node._listener._memory.bodies.share,
             node._executor._memory,
-            node._executor._connections.memory,
+            node._executor._connections.memory.budget,
         )
         for node in fleet.nodes
     ]
@@ -259,7 +259,7 @@
         """A frozen node keeps its links, and must not keep the memory of others."""
 
         async def scenario(fleet):
-            memory = fleet.nodes[0]._executor._connections.memory
+            memory = fleet.nodes[0]._executor._connections.memory.budget
             memory.reserve_unchecked(memory.limit)
             asked = asyncio.ensure_future(fleet.ask("/once/a", method="POST"))
             service = fleet.nodes[1]._links
@@ -316,7 +316,7 @@
 
         async def scenario(fleet):
             for node in fleet.nodes:
-                node._listener.memory.resize(MIB)
+                node._listener._memory.bodies.share.resize(MIB)
                 node._executor._memory.resize(MIB)
             busy = True
 
@@ -359,7 +359,7 @@
 
         async def scenario(fleet):
             for node in fleet.nodes:
-                node._executor._connections.memory.resize(MIB)
+                node._executor._connections.memory.budget.resize(MIB)
             asked = [fleet.ask("/once/a", method="POST") for _ in range(8)]
             answers = await asyncio.gather(*asked)
             return {(a[0], a[2] == body) for a in answers}, memory_in_use(fleet)
@@ -381,7 +381,7 @@
 
         async def scenario(fleet):
             for node in fleet.nodes:
-                node._executor._connections.memory.resize(MIB)
+                node._executor._connections.memory.budget.resize(MIB)
             asked = [fleet.ask("/once/a", method="POST") for _ in range(6)]
             answers = await asyncio.gather(*asked)
             return {(a[0], a[2] == body) for a in answers}, memory_in_use(fleet)
@@ -403,7 +403,7 @@
             for n in range(30):
                 got = await fleet.ask("/once/a", method="POST", request_id=f"q{n}")
                 statuses.add(got[0])
-            held = pool.memory.used
+            held = pool.memory.budget.used
             return statuses, held, (await fleet.ask("/a", request_id="last"))[0]
 
         self.assertEqual(({502}, 0, 200), self.run_far(scenario, script))
@@ -430,7 +430,7 @@
 
         async def with_readers(fleet):
             for node in fleet.nodes:
-                node._executor._connections.memory.resize(4 * MIB)
+                node._executor._connections.memory.budget.resize(4 * MIB)
             path = "/here/a" if here else "/a"
             callers = [
                 await send_request(fleet, path, f"q{n}") for n in range(self.READERS)
@@ -489,7 +489,7 @@
 
         async def scenario(fleet):
             for node in fleet.nodes:
-                node._executor._connections.memory.resize(2 * self.SIZE)
+                node._executor._connections.memory.budget.resize(2 * self.SIZE)
             callers, held = [], []
             for n in range(self.READERS):
                 callers.append(await send_request(fleet, "/a", f"q{n}"))
@@ -523,7 +523,7 @@
 
         async def scenario(fleet):
             for node in fleet.nodes:
-                node._executor._connections.memory.resize(MIB)
+                node._executor._connections.memory.budget.resize(MIB)
             reader, _ = await send_request(fleet, "/a")
             with contextlib.suppress(ConnectionError):
                 got = await asyncio.wait_for(reader.read(), 10.0)
--- a/tests/test_relay_memory.py
+++ b/tests/test_relay_memory.py
@@ -30,15 +30,15 @@
 
     def test_small_body_does_not_wait_behind_large_ones(self):
         async def scenario(fleet):
-            memory = fleet.nodes[0]._listener.memory
-            memory.reserve_unchecked(memory.limit)
+            memory = fleet.nodes[0]._listener._memory.bodies
+            memory.share.reserve_unchecked(memory.share.limit)
             large = asyncio.ensure_future(
                 fleet.ask("/a", method="POST", body=b"x" * MIB, request_id="large")
             )
-            await fleet.until(lambda: fleet.nodes[0]._listener._memory_waiters)
+            await fleet.until(lambda: memory.waiters)
             small = await fleet.ask("/a", method="POST", body=b"seat=12")
             waits = not large.done()
-            fleet.nodes[0]._listener.release_memory(memory.limit)
+            memory.release(memory.share.limit)
             return small[0], waits, (await large)[0]
 
         config = configuration(1, [route("svc", "/", kind="upload")], CLUBS)
--- a/tests/test_relay_uploads.py
+++ b/tests/test_relay_uploads.py
@@ -40,7 +40,7 @@
         """This also holds for more callers than the memory limit has room for."""
 
         async def scenario(fleet):
-            memory = fleet.nodes[0]._listener.memory
+            memory = fleet.nodes[0]._listener._memory.bodies.share
             memory.resize(3 * MIB)
             peak_bytes = []
             bodies = [bytes([65 + n]) * MIB for n in range(12)]
@@ -71,7 +71,7 @@
 
     def test_body_larger_than_the_memory_limit_is_served_alone(self):
         async def scenario(fleet):
-            fleet.nodes[0]._listener.memory.resize(MIB)
+            fleet.nodes[0]._listener._memory.bodies.share.resize(MIB)
             requests = (
                 fleet.ask("/a", method="POST", body=b"x" * 2 * MIB, request_id=name)
                 for name in ("q1", "q2")
@@ -82,7 +82,7 @@
 
     def test_chunked_body_waits_for_memory(self):
         async def scenario(fleet):
-            memory = fleet.nodes[0]._listener.memory
+            memory = fleet.nodes[0]._listener._memory.bodies.share
             memory.resize(MIB)
             memory.reserve_unchecked(MIB)
             reader, writer = await fleet.connect()
@@ -94,7 +94,7 @@
             writer.write(b"0\r\n\r\n")
             await asyncio.sleep(0.1)
             before = len(fleet.servers[0].seen)
-            fleet.nodes[0]._listener.release_memory(MIB)
+            fleet.nodes[0]._listener._memory.bodies.release(MIB)
             status = (await read_answer(reader))[0]
             writer.close()
             length = len(fleet.servers[0].seen[0].partition(b"\r\n\r\n")[2])
@@ -120,7 +120,7 @@
             answer = await read_answer(reader)
             writer.close()
             node = fleet.nodes[0]
-            held = node._listener.memory.used
+            held = node._listener._memory.bodies.share.used
             return answer[0], answer[2], held, len(fleet.servers[0].seen)
 
         status, body, held, seen = self.run_scenario(scenario, config=UPLOADS)
@@ -129,7 +129,7 @@
 
     def test_caller_disconnect_frees_the_memory_of_an_incomplete_body(self):
         async def scenario(fleet):
-            memory = fleet.nodes[0]._listener.memory
+            memory = fleet.nodes[0]._listener._memory.bodies.share
             memory.resize(MIB)
             _, writer = await fleet.connect()
             writer.write(head(MIB, "q1") + b"x" * 1000)
@@ -151,16 +151,17 @@
 
         async def scenario(fleet):
             listener = fleet.nodes[0]._listener
-            listener.memory.resize(MIB)
-            listener.memory.reserve_unchecked(MIB)
+            memory = listener._memory.bodies
+            memory.share.resize(MIB)
+            memory.share.reserve_unchecked(MIB)
             _, writer = await fleet.connect()
             deadline = "X-Timeout-Ms: 300\r\n"
             writer.write(head(MIB, "q1", deadline) + b"x" * 1000)
-            await fleet.until(lambda: listener._memory_waiters)
+            await fleet.until(lambda: memory.waiters)
             writer.close()
             await fleet.until(lambda: not listener.connections)
-            listener.release_memory(MIB)
-            return listener.memory.used, len(listener._memory_waiters)
+            memory.release(MIB)
+            return memory.share.used, len(memory.waiters)
 
         self.assertEqual((0, 0), self.run_scenario(scenario, config=UPLOADS))
 
