Make tests of bodies and callers' memory fail with the faults they name

- Small bodies: the body came in one read with its head and was served whatever share it drew on.
It now comes in a read of its own; caught: small bodies that draw on the share of large ones.
- Answers that break off while they are passed on: the connection was closed by its idle timeout as well.
A request behind it must get no answer; caught: a broken body told as complete.
- Charges of requests: an assertion compared 0 with 0.

--- a/damaskramp/relay/tests/test_caller_requests.py
+++ b/damaskramp/relay/tests/test_caller_requests.py
@@ -88,7 +88,7 @@
         for _ in range(2):
             self.charges.release(self.request)
         used = (self.memory.small_bodies.used, self.memory.bodies.used)
-        self.assertEqual((0, 100_000, (0, 0)), (0, self.memory.room, used))
+        self.assertEqual((100_000, (0, 0)), (self.memory.room, used))
         self.assertEqual(0, self.charges.head_bytes)
 
     def test_a_small_head_is_not_reserved_while_its_request_runs(self):
--- a/tests/relay_bodies.py
+++ b/tests/relay_bodies.py
@@ -7,7 +7,12 @@
 
 MIB = 1024 * 1024
 SERVICES = ("svc", "far")
-LONG = {"timeout": "15000ms", "target-latency": "15000ms", "max-attempts": 1}
+LONG_SECONDS = 15
+LONG = {
+    "timeout": f"{LONG_SECONDS}s",
+    "target-latency": f"{LONG_SECONDS}s",
+    "max-attempts": 1,
+}
 FAR = configuration(
     1,
     [
--- a/tests/test_relay_link_memory.py
+++ b/tests/test_relay_link_memory.py
@@ -7,7 +7,14 @@
 import time
 
 from damaskramp.relay.incoming_link import BODY_STALL_SECONDS
-from tests.relay_bodies import MIB, LinkTestCase, body_of, memory_in_use, pattern
+from tests.relay_bodies import (
+    LONG_SECONDS,
+    MIB,
+    LinkTestCase,
+    body_of,
+    memory_in_use,
+    pattern,
+)
 from tests.relay_fleet import field, ok
 
 
@@ -47,6 +54,25 @@
 
         self.assertEqual((True, (0, 0), 0), self.run_far(scenario))
 
+    def test_upload_that_its_sender_never_cancels_is_dropped(self):
+        """It would take its memory later, for a request that nobody waits for."""
+
+        async def scenario(fleet):
+            memory = fleet.nodes[1]._executor._memory
+            memory.reserve_unchecked(memory.limit)
+            asked = asyncio.ensure_future(
+                fleet.ask("/up/a", method="POST", body=b"x" * MIB)
+            )
+            service = fleet.nodes[1]._links
+            await fleet.until(lambda: service.uploads)
+            service.clock = lambda: time.monotonic() + LONG_SECONDS
+            got = await asked
+            held = memory.used - memory.limit, service.memory.waiting
+            dropped = fleet.counters[1].values["link_bodies_overdue", ""]
+            return b"not-run" in got[2], held, dropped, len(fleet.servers[1].seen)
+
+        self.assertEqual((True, (0, 0), 1, 0), self.run_far(scenario))
+
 
 class TestMemory(LinkTestCase):
     def test_no_byte_of_a_body_is_sent_before_its_memory_is_reserved(self):
--- a/tests/test_relay_memory.py
+++ b/tests/test_relay_memory.py
@@ -3,11 +3,25 @@
 import asyncio
 import time
 
-from tests.relay_fleet import CLUBS, RelayTestCase, configuration, field, ok, route
+from tests.relay_fleet import (
+    CLUBS,
+    RelayTestCase,
+    configuration,
+    field,
+    ok,
+    read_answer,
+    route,
+)
 
 MIB = 1024 * 1024
 
 
+def reads_body(node):
+    """Return whether the head of the small request has arrived without its body."""
+    requests = [one._reader.request for one in node._listener.connections]
+    return any(one is not None and one.request_id == b"small" for one in requests)
+
+
 class TestMemory(RelayTestCase):
     def test_trailers_replace_no_fields_of_the_head(self):
         """A trailer must not change the key, the host or the id of a request."""
@@ -36,7 +50,15 @@
                 fleet.ask("/a", method="POST", body=b"x" * MIB, request_id="large")
             )
             await fleet.until(lambda: memory.waiters)
-            small = await fleet.ask("/a", method="POST", body=b"seat=12")
+            reader, writer = await fleet.connect()
+            writer.write(
+                b"POST /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: small\r\n"
+                b"Authorization: Token key-1\r\nContent-Length: 7\r\n\r\n"
+            )
+            # A body that comes in one read with its head is taken in any case.
+            await fleet.until(lambda: reads_body(fleet.nodes[0]))
+            writer.write(b"seat=12")
+            small = await read_answer(reader)
             waits = not large.done()
             memory.release(memory.share.limit)
             return small[0], waits, (await large)[0]
--- a/tests/test_relay_slow_readers.py
+++ b/tests/test_relay_slow_readers.py
@@ -125,17 +125,25 @@
         """With too little memory to hold it, its head has been sent by then."""
 
         def script(request):
+            if b"/small" in request:
+                return ok(request)
             return [ok(request, b"x" * 2 * MIB)[:MIB], ...]
 
         async def scenario(fleet):
             for node in fleet.nodes:
                 node._executor._connections.memory.budget.resize(MIB)
-            reader, _ = await send_request(fleet, "/a")
+            reader, writer = await send_request(fleet, "/a")
+            # Bytes of a later answer must not fill up the body either.
+            writer.write(
+                b"GET /small HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q2\r\n"
+                b"Authorization: Token key-1\r\n\r\n"
+            )
             with contextlib.suppress(ConnectionError):
                 got = await asyncio.wait_for(reader.read(), 10.0)
                 head, _, body = got.partition(b"\r\n\r\n")
                 self.assertEqual("200", head.split()[1].decode())
                 self.assertLess(len(body), int(field(head, "content-length")))
+                self.assertNotIn(b"HTTP/1.1", body)
             await fleet.until(lambda: memory_in_use(fleet) == [0, 0])
 
         self.run_far(scenario, script)
