Streams of messages take their budget as an argument; one size of reads of a server

- MessageStream had its budget set by its subclasses after construction, and a branch for streams without one, which do not exist.
- UploadBody repeated the check of the length in ReceivedBody.feed.
- READ_BYTES, which bodies reserve for one read, and MAX_READ_BYTES, which bounds reads, had to be equal and were two constants; the text of the first still spoke of reads by the event loop's own buffer.

Tests: damaskramp/core, damaskramp/relay, tests/test_relay_{links,link_memory, slow_readers,memory,uploads,ended_connections,kept_connections,endless_answers}.py pass.

--- a/damaskramp/relay/backend_connection.py
+++ b/damaskramp/relay/backend_connection.py
@@ -9,10 +9,11 @@
 from damaskramp.core import ByteBudget, Counters
 from damaskramp.relay.answer_intake import ANSWER_BYTES
 from damaskramp.relay.answer_reader import OTHER_BYTES
+from damaskramp.relay.body_source import READ_BYTES
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.server_answer import Exchange, ExchangeFailure
-from damaskramp.relay.server_connection import MAX_READ_BYTES, ServerConnection
+from damaskramp.relay.server_connection import ServerConnection
 
 __all__ = ["ANSWER_BYTES", "OTHER_BYTES", "ServerConnections"]
 
@@ -66,7 +67,7 @@
         self.counters = counters
         self.on_idle_closed: Callable[[], None] = lambda: None
         self.memory = MemoryQueue(memory)
-        self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
 
     def update_idle_timeout(self, keep_alive: bytes) -> None:
         """Adopt the idle timeout from the value of the server's Keep-Alive field."""
--- a/damaskramp/relay/body_source.py
+++ b/damaskramp/relay/body_source.py
@@ -16,7 +16,7 @@
 ]
 
 READ_BYTES = 256 * 1024
-"""Most bytes that one read of a connection returns, in asyncio and uvloop."""
+"""Most bytes of a body that one read of a connection to a server returns."""
 
 WINDOW_BYTES = READ_BYTES
 """Memory of a body that is passed on as it arrives, in bytes: one read, or the
@@ -214,7 +214,7 @@
             self._notify()
 
     def _add_piece(self, data: bytes) -> None:
-        """Keep the next bytes; small parts share one buffer, as each object costs."""
+        """Store the next bytes; small parts share one buffer, as each object costs."""
         if len(data) >= SMALL_PIECE_BYTES:
             self._pieces.append(data)
             return
--- a/damaskramp/relay/incoming_link.py
+++ b/damaskramp/relay/incoming_link.py
@@ -40,9 +40,8 @@
     """Link opened by another node."""
 
     def __init__(self, service: "LinkService") -> None:
-        super().__init__()
+        super().__init__(service.partial_memory)
         self._service = service
-        self._partial_memory = service.partial_memory
         self._cancels: dict[int, Cancel] = {}
         self._received_calls: dict[int, Call | IncomingUpload] = {}
         self._uploads: dict[int, IncomingUpload] = {}
--- a/damaskramp/relay/incoming_upload.py
+++ b/damaskramp/relay/incoming_upload.py
@@ -34,13 +34,6 @@
         """Whether the body waits for memory."""
         return self._waiter is not None
 
-    def feed(self, data: bytes) -> None:
-        """Add the next bytes."""
-        self.received += len(data)
-        if self.received > self._size:
-            raise ValueError("body is longer than stated")
-        self._data += data
-
     def take_whole(self) -> bytearray:
         """Return the complete body, and release its memory for another owner."""
         data, self._data = self._data, bytearray()
@@ -52,6 +45,9 @@
         self._data = bytearray()
         super().close()
 
+    def _add_piece(self, data: bytes) -> None:
+        self._data += data
+
 
 class IncomingUpload:
     """Call whose body is arriving.
--- a/damaskramp/relay/message_stream.py
+++ b/damaskramp/relay/message_stream.py
@@ -51,14 +51,20 @@
 
 
 class MessageStream(asyncio.Protocol):
-    """Message stream that sends the messages of one loop iteration in one write."""
+    """Message stream that sends the messages of one loop iteration in one write.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    partial_memory : ByteBudget
+        Budget for messages that have not arrived completely.
+    """
+
+    def __init__(self, partial_memory: ByteBudget) -> None:
         self._transport: asyncio.Transport | None = None
         self._out: list[bytes | memoryview] = []
         self._unpacker: msgpack.Unpacker | None = _new_unpacker()
         self._is_held_back = False
-        self._partial_memory: ByteBudget | None = None
+        self._partial_memory = partial_memory
         self._partial_reserved = 0
         self._fed = 0
         self._pending = 0
@@ -128,7 +134,7 @@
             self._unpacker, self._fed = _new_unpacker(), 0
             self._has_grown = False
         needed = BUFFER_FACTOR * pending if pending > FREE_PARTIAL_BYTES else 0
-        if needed == self._partial_reserved or self._partial_memory is None:
+        if needed == self._partial_reserved:
             return
         self._release_partial()
         if self._partial_memory.reserve(needed):
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -71,8 +71,7 @@
         on_pong: Callable[[str, list], None],
         on_down: Callable[[str, str, int, bool], None],
     ) -> None:
-        super().__init__()
-        self._partial_memory = memory.budget
+        super().__init__(memory.budget)
         self._host = host
         self._port = port
         self._clock = clock
--- a/damaskramp/relay/server_connection.py
+++ b/damaskramp/relay/server_connection.py
@@ -16,6 +16,7 @@
 from damaskramp.http import discard_on_close
 from damaskramp.relay.answer_intake import AnswerIntake
 from damaskramp.relay.answer_reader import AnswerReader
+from damaskramp.relay.body_source import READ_BYTES
 from damaskramp.relay.messages import FRAGMENT_BYTES
 from damaskramp.relay.read_size import FIRST_READ_BYTES, next_read_bytes
 from damaskramp.relay.server_answer import Exchange, ExchangeFailure
@@ -23,10 +24,7 @@
 if TYPE_CHECKING:
     from damaskramp.relay.backend_connection import ServerConnections
 
-__all__ = ["MAX_READ_BYTES", "ServerConnection"]
-
-MAX_READ_BYTES = 256 * 1024
-"""Most bytes that are read at once, of a body that comes in large parts."""
+__all__ = ["ServerConnection"]
 
 
 class ServerConnection(asyncio.BufferedProtocol):
@@ -129,7 +127,7 @@
         if reader.complete_answer is None and reader.is_too_large:
             self._fail(ExchangeFailure.TOO_LARGE)
             return
-        self._read_bytes = next_read_bytes(size, reader.parts, MAX_READ_BYTES)
+        self._read_bytes = next_read_bytes(size, reader.parts, READ_BYTES)
         self._advance()
 
     def eof_received(self) -> bool:
--- a/damaskramp/relay/tests/test_message_stream.py
+++ b/damaskramp/relay/tests/test_message_stream.py
@@ -17,8 +17,7 @@
 
 class RecordingStream(MessageStream):
     def __init__(self):
-        super().__init__()
-        self._partial_memory = ByteBudget(16 * KIB * KIB)
+        super().__init__(ByteBudget(16 * KIB * KIB))
         self.lengths = []
 
     def received(self, message):
--- a/damaskramp/relay/tests/test_server_reads.py
+++ b/damaskramp/relay/tests/test_server_reads.py
@@ -5,10 +5,11 @@
 from damaskramp.core import ByteBudget, Counters
 from damaskramp.platform import PLATFORM_HEADERS
 from damaskramp.relay.backend_connection import ServerConnections
+from damaskramp.relay.body_source import READ_BYTES
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.read_size import PARTS_PER_READ
 from damaskramp.relay.server_answer import Exchange
-from damaskramp.relay.server_connection import MAX_READ_BYTES, ServerConnection
+from damaskramp.relay.server_connection import ServerConnection
 from damaskramp.testing import LoopTestCase
 
 HEAD = b"HTTP/1.1 200 OK\r\n%b: q1\r\n" % PLATFORM_HEADERS.request_id
@@ -85,8 +86,8 @@
     def test_large_bodies_are_read_in_large_steps(self):
         data = HEAD + b"Content-Length: %d\r\n\r\n" % SIZE + b"x" * SIZE
         sizes, answer = self.read_sizes(data)
-        self.assertEqual(MAX_READ_BYTES, max(sizes))
-        self.assertLessEqual(len(sizes), 2 + SIZE // MAX_READ_BYTES + 1)
+        self.assertEqual(READ_BYTES, max(sizes))
+        self.assertLessEqual(len(sizes), 2 + SIZE // READ_BYTES + 1)
         self.assertEqual(SIZE, len(answer.body))
 
     def test_large_chunks_are_read_in_large_steps(self):
