Simplify callers' and readers' connections

- The address of a client was looked up by the same lines in three connections.
- Answers of more than 64 KiB never come as bytes, so UnsentAnswers.write had a branch that nothing reached.
- The pool of connections to the server re-exported two limits for a test.
- Conditions that wrapped over lines for want of a name have one.
- LARGE_BYTES is used by other modules and is listed as public.

--- a/damaskramp/core/byte_budget.py
+++ b/damaskramp/core/byte_budget.py
@@ -19,7 +19,7 @@
 (True, False)
 """
 
-__all__ = ["ByteBudget"]
+__all__ = ["LARGE_BYTES", "ByteBudget"]
 
 LARGE_BYTES = 4 * 1024 * 1024
 """Size, in bytes, from which a body may be held beyond the limit. Smaller bodies wait:
--- a/damaskramp/core/memory_account.py
+++ b/damaskramp/core/memory_account.py
@@ -114,6 +114,8 @@
 
     Attributes
     ----------
+    name : str
+        Name of the share in metrics and log lines.
     refused : int
         Number of refused reservations since it was last set to 0.
     """
--- a/damaskramp/core/tests/test_timers.py
+++ b/damaskramp/core/tests/test_timers.py
@@ -1,6 +1,6 @@
 """Periodic timers on a loop that is late."""
 
-from unittest import TestCase
+from testtools import TestCase
 
 from damaskramp.core.timers import TimerHandle, TimerService
 
--- a/damaskramp/relay/backend_connection.py
+++ b/damaskramp/relay/backend_connection.py
@@ -7,15 +7,13 @@
 from collections.abc import Callable
 
 from damaskramp.core import ByteBudget, Counters
-from damaskramp.relay.answer_intake import ANSWER_BYTES
-from damaskramp.relay.answer_reader import OTHER_BYTES
 from damaskramp.relay.body_source import READ_BYTES
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.server_answer import Exchange, ExchangeFailure
 from damaskramp.relay.server_connection import ServerConnection
 
-__all__ = ["ANSWER_BYTES", "OTHER_BYTES", "ServerConnections"]
+__all__ = ["ServerConnections"]
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 """Timeout for connecting to a server on the same host, in seconds."""
--- a/damaskramp/relay/caller_buffers.py
+++ b/damaskramp/relay/caller_buffers.py
@@ -22,9 +22,6 @@
 WRITE_BUFFER_BYTES = 16 * 1024
 """Bytes of unsent answers from which they are reserved and no request is begun."""
 
-LARGE_BODY_BYTES = 64 * 1024
-"""Size, in bytes, of bodies of answers that are written without a copy."""
-
 WRITE_STALL_SECONDS = 20.0
 """Time, in seconds, in which a caller that is behind must progress: several times the
 longest deadline that interactive callers set."""
@@ -136,14 +133,9 @@
         writer.start()
 
     def write(self, head: bytes, body: bytes) -> None:
-        """Send an answer, of which `head` ends without the blank line."""
+        """Send an answer with a small body; `head` ends without the blank line."""
         self.progressed_at = self._clock()
-        if len(body) > LARGE_BODY_BYTES:
-            # Joining the parts would hold the body twice.
-            self._transport.write(head + b"\r\n")
-            self._transport.write(body)
-        else:
-            self._transport.write(b"".join((head, b"\r\n", body)))
+        self._transport.write(b"".join((head, b"\r\n", body)))
 
     def pause(self) -> None:
         """Reserve memory, as the caller reads more slowly than answers come."""
--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -27,7 +27,7 @@
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.request_charges import RequestCharges
 from damaskramp.relay.request_starter import RequestStarter
-from damaskramp.relay.shedding import Shedding
+from damaskramp.relay.shedding import Shedding, client_address
 
 __all__ = ["CallerConnection"]
 
@@ -91,8 +91,7 @@
     @property
     def client(self) -> str:
         """Address of the caller."""
-        name = self._transport.get_extra_info("peername") if self._transport else None
-        return name[0] if name else ""
+        return client_address(self._transport)
 
     @property
     def progressed_at(self) -> float:
--- a/damaskramp/relay/caller_memory.py
+++ b/damaskramp/relay/caller_memory.py
@@ -169,9 +169,9 @@
 
     def may_begin(self, connection: ClientHolder) -> bool:
         """Return whether a request may begin, whose answer will need memory."""
-        if not self._shares.answers.exhausted:
-            return True
         answers = self._shares.answers
+        if not answers.exhausted:
+            return True
         self._shed(Shedding.ANSWERS, answers, 1, MIN_STALL_SECONDS)
         if not answers.exhausted:
             return True
--- a/damaskramp/relay/caller_reader.py
+++ b/damaskramp/relay/caller_reader.py
@@ -109,11 +109,8 @@
     @property
     def is_chunked(self) -> bool:
         """Whether a body in chunks is being read."""
-        return (
-            self.head_done
-            and self.request is not None
-            and (self.request.length is None)
-        )
+        request = self.request
+        return self.head_done and request is not None and request.length is None
 
     def feed(self, data: memoryview) -> ReadStatus:
         """Parse data; return the status with which the request is refused.
@@ -258,19 +255,19 @@
 
     def _reserve(self, request: CallerRequest, size: int) -> None:
         """Reserve memory for a body or a part of one; stop reading if there is none."""
+        memory = self._context.memory
         held = request.reserved_bytes + request.small_bytes + self._awaited_bytes + size
+        is_small = held <= SMALL_BODY_BYTES
         if held > self._context.limits.body_bytes:
             self._early_status = ReadStatus.TOO_LARGE
         elif self._awaited_bytes:
             self._awaited_bytes += size
-        elif held <= SMALL_BODY_BYTES and self._context.memory.small_bodies.reserve(
-            size
-        ):
+        elif is_small and memory.small_bodies.reserve(size):
             request.small_bytes += size
-        elif held > SMALL_BODY_BYTES and self._context.memory.bodies.reserve(size):
+        elif not is_small and memory.bodies.reserve(size):
             request.reserved_bytes += size
         else:
-            self._awaits_small = held <= SMALL_BODY_BYTES
+            self._awaits_small = is_small
             self._awaited_bytes = size
             self._context.counters.add("bodies_held_back")
             self._awaited_from.wait(self)
--- a/damaskramp/relay/link_gate.py
+++ b/damaskramp/relay/link_gate.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
-from damaskramp.relay.shedding import Shedding, SheddingLog
+from damaskramp.relay.shedding import Shedding, SheddingLog, client_address
 
 __all__ = ["LinkGate"]
 
@@ -54,10 +54,9 @@
     def enter(self, link: "_SilentLink") -> None:
         """Register a connection, and close the oldest silent one if there are many."""
         self._silent[link] = self._clock()
-        count = len(self._silent)
-        if count > MAX_SILENT_LINKS or self._open_links() + count > (
-            self._max_connections
-        ):
+        silent = len(self._silent)
+        total = self._open_links() + silent
+        if silent > MAX_SILENT_LINKS or total > self._max_connections:
             self._close(next(iter(self._silent)))
 
     def admit(self, link: "_SilentLink") -> asyncio.Protocol | None:
@@ -99,8 +98,7 @@
 
     @property
     def client(self) -> str:
-        name = self._transport.get_extra_info("peername") if self._transport else None
-        return name[0] if name else ""
+        return client_address(self._transport)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -172,7 +172,7 @@
         """Send a part of a body; its bytes are then awaited on the other host."""
         super().send_fragment(number, data)
         self.mark_position()
-        self._health.record_question(self._clock())
+        self._record_question()
 
     def ping(self, *fields: object) -> None:
         """Ask for the other node's fleet view."""
--- a/damaskramp/relay/shedding.py
+++ b/damaskramp/relay/shedding.py
@@ -1,12 +1,13 @@
 """Kinds of load shedding by memory and descriptors, and the log of what was shed."""
 
+import asyncio
 import logging
 from collections import Counter
 from enum import Enum
 
 from damaskramp.core import Counters
 
-__all__ = ["Shedding", "SheddingLog"]
+__all__ = ["Shedding", "SheddingLog", "client_address"]
 
 LOGGER = logging.getLogger(__name__)
 
@@ -29,6 +30,12 @@
     LINKS = "links"
 
 
+def client_address(transport: asyncio.BaseTransport | None) -> str:
+    """Address of the other side of a connection; empty if it is not known."""
+    name = transport.get_extra_info("peername") if transport is not None else None
+    return name[0] if name else ""
+
+
 class SheddingLog:
     """Counters, and one line for each kind of shedding at most once a second."""
 
--- a/damaskramp/relay/status_server.py
+++ b/damaskramp/relay/status_server.py
@@ -13,7 +13,7 @@
 import h11
 
 from damaskramp.core import MemoryHolder, MemoryShare, worst_holders
-from damaskramp.relay.shedding import Shedding, SheddingLog
+from damaskramp.relay.shedding import Shedding, SheddingLog, client_address
 
 __all__ = ["StatusConnection", "StatusServer"]
 
@@ -169,8 +169,7 @@
     @property
     def client(self) -> str:
         """Address of the reader."""
-        name = self._transport.get_extra_info("peername") if self._transport else None
-        return name[0] if name else ""
+        return client_address(self._transport)
 
     @property
     def progressed_at(self) -> float:
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -6,7 +6,8 @@
 
 import itertools
 
-from damaskramp.relay.backend_connection import ANSWER_BYTES, OTHER_BYTES
+from damaskramp.relay.answer_intake import ANSWER_BYTES
+from damaskramp.relay.answer_reader import OTHER_BYTES
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, field, ok, route
 
 PIECE = 64 * 1024
