Tests of the account and of growing bodies fail with the faults they name

- The sum of the account after a body beyond it was checked through a share whose own bound hides a wrong sum.
Caught: the release of such a body counted in the shares.
- Bodies of unknown length that wait for each other: the first body had all memory before the second was opened.
Caught: memory reserved step by step.

Tests: core/tests/test_memory_account.py, relay/tests/test_bodies.py pass; each fault above fails.

--- a/damaskramp/core/tests/test_memory_account.py
+++ b/damaskramp/core/tests/test_memory_account.py
@@ -98,6 +98,8 @@
         self.assertEqual(0, account.used)
         self.assertTrue(share.reserve(size))
         self.assertFalse(share.reserve(1))
+        # The bound of the share itself hides a sum of the account that is too small.
+        self.assertFalse(account.share("b", 0, size).reserve(1))
 
     def test_guarantees_beyond_the_limit_are_refused(self):
         account = MemoryAccount(100)
--- a/damaskramp/relay/tests/test_bodies.py
+++ b/damaskramp/relay/tests/test_bodies.py
@@ -178,6 +178,7 @@
             bodies = [GrowingBody(memory, 32 * MIB) for _ in range(2)]
             for body in bodies:
                 body.open()
+            for body in bodies:
                 while body.may_read and body.received <= MIB:
                     body.feed(b"x" * READ_BYTES)
             order = []
