Tests build a caller's request in one place

RelayFleet.ask, send_request and four tests wrote the same head. Parameters that no test used are gone.

--- a/tests/relay_bodies.py
+++ b/tests/relay_bodies.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.relay_fleet import CLUBS, RelayTestCase, configuration, route
+from tests.relay_fleet import CLUBS, RelayTestCase, configuration, request_bytes, route
 from tests.slow_link import slow_link
 
 MIB = 1024 * 1024
@@ -48,13 +48,10 @@
     return [sum(budget.used for budget in one) for one in budgets]
 
 
-async def send_request(fleet, path, request_id="q1", extra=""):
+async def send_request(fleet, path, request_id="q1"):
     """Send a request without reading its answer."""
     reader, writer = await fleet.connect()
-    writer.write(
-        f"GET {path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-1\r\n"
-        f"X-Request-Id: {request_id}\r\n{extra}\r\n".encode()
-    )
+    writer.write(request_bytes(path, request_id=request_id))
     return reader, writer
 
 
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -244,6 +244,17 @@
     )
 
 
+def request_bytes(path, method="GET", key="key-1", body=b"", request_id="q1", extra=""):
+    """Return a request as a caller sends it."""
+    head = f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
+    head += f"X-Request-Id: {request_id}\r\n{extra}"
+    if key:
+        head += f"Authorization: Token {key}\r\n"
+    if body:
+        head += f"Content-Length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + body
+
+
 def route(service, prefix, **fields):
     """Return a route as the operator writes it."""
     return {
@@ -387,13 +398,7 @@
     ):
         """Send a request and return the status, head and body of its answer."""
         reader, writer = await self.connect(n)
-        head = f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
-        head += f"X-Request-Id: {request_id}\r\n{extra}"
-        if key:
-            head += f"Authorization: Token {key}\r\n"
-        if body:
-            head += f"Content-Length: {len(body)}\r\n"
-        writer.write(head.encode() + b"\r\n" + body)
+        writer.write(request_bytes(path, method, key, body, request_id, extra))
         try:
             return await read_answer(reader, method)
         finally:
--- a/tests/test_relay_kept_connections.py
+++ b/tests/test_relay_kept_connections.py
@@ -2,14 +2,11 @@
 
 import asyncio
 
-from tests.relay_fleet import RelayTestCase, field, ok, read_answer
+from tests.relay_fleet import RelayTestCase, field, ok, read_answer, request_bytes
 
 
 def request(n, body=b""):
-    return (
-        b"POST /a HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-1\r\n"
-        b"X-Request-Id: q%d\r\nContent-Length: %d\r\n\r\n%b" % (n, len(body), body)
-    )
+    return request_bytes("/a", "POST", body=body, request_id=f"q{n}")
 
 
 class TestKeptConnections(RelayTestCase):
--- a/tests/test_relay_links.py
+++ b/tests/test_relay_links.py
@@ -16,7 +16,7 @@
     send_request,
     start_upload,
 )
-from tests.relay_fleet import ok
+from tests.relay_fleet import ok, request_bytes
 
 
 class TestSlowLinks(LinkTestCase):
@@ -164,11 +164,7 @@
     def test_caller_that_leaves_in_the_middle_of_an_upload_frees_its_memory(self):
         async def scenario(fleet, link):
             _, writer = await fleet.connect()
-            writer.write(
-                b"POST /up/a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q1\r\n"
-                b"Authorization: Token key-1\r\nContent-Length: %d\r\n\r\n" % (4 * MIB)
-            )
-            writer.write(b"x" * 4 * MIB)
+            writer.write(request_bytes("/up/a", "POST", body=b"x" * 4 * MIB))
             await fleet.until(lambda: link.passed_up > MIB)
             writer.close()
             await fleet.until(lambda: memory_in_use(fleet) == [0, 0])
--- a/tests/test_relay_memory.py
+++ b/tests/test_relay_memory.py
@@ -10,6 +10,7 @@
     field,
     ok,
     read_answer,
+    request_bytes,
     route,
 )
 
@@ -51,13 +52,12 @@
             )
             await fleet.until(lambda: memory.waiters)
             reader, writer = await fleet.connect()
-            writer.write(
-                b"POST /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: small\r\n"
-                b"Authorization: Token key-1\r\nContent-Length: 7\r\n\r\n"
-            )
+            body = b"seat=12"
+            request = request_bytes("/a", "POST", body=body, request_id="small")
+            writer.write(request.removesuffix(body))
             # A body that comes in one read with its head is taken in any case.
             await fleet.until(lambda: reads_body(fleet.nodes[0]))
-            writer.write(b"seat=12")
+            writer.write(body)
             small = await read_answer(reader)
             waits = not large.done()
             memory.release(memory.share.limit)
@@ -76,8 +76,7 @@
                 b"POST /a HTTP/1.1\r\nHost: a.example\r\n"
                 b"Content-Length: 5000\r\n\r\nxx",
                 b"GET /a HTTP/1.1\r\nHost: a.example\r\n" + b"a:b\r\n" * 500,
-                b"GET /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q\r\n"
-                b"Authorization: Token key-1\r\n\r\n" * 30,
+                request_bytes("/a") * 30,
             )
             writers = []
             for start in starts * 3:
@@ -109,10 +108,7 @@
             listener = fleet.nodes[0]._listener
             listener.context.clock = lambda: time.monotonic() + offset[0]
             reader, writer = await fleet.connect()
-            writer.write(
-                b"GET /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q1\r\n"
-                b"Authorization: Token key-1\r\n\r\n"
-            )
+            writer.write(request_bytes("/a"))
             await fleet.until(lambda: listener.unsent)
             connection = next(iter(listener.connections))
             await reader.readuntil(b"\r\n\r\n")
--- a/tests/test_relay_slow_readers.py
+++ b/tests/test_relay_slow_readers.py
@@ -12,7 +12,7 @@
     pattern,
     send_request,
 )
-from tests.relay_fleet import field, ok, read_answer
+from tests.relay_fleet import field, ok, read_answer, request_bytes
 
 
 class TestSlowReaders(LinkTestCase):
@@ -23,7 +23,7 @@
 
     def run_readers(self, scenario, here=False):
         body = pattern(self.SIZE)
-        sent = []
+        pieces = []
 
         def script(request):
             if b"/small" in request:
@@ -31,7 +31,7 @@
                 return
             answer = ok(request, body)
             for start in range(0, len(answer), 65536):
-                sent.append(len(answer[start : start + 65536]))
+                pieces.append(start)
                 yield answer[start : start + 65536]
 
         async def with_readers(fleet):
@@ -45,13 +45,13 @@
                 writer.transport.pause_reading()
             # Wait until nothing moves any more.
             before = -1
-            while before != len(sent):
-                before = len(sent)
+            while before != len(pieces):
+                before = len(pieces)
                 await asyncio.sleep(0.5)
-            return await scenario(fleet, callers, sum(sent), body)
+            return await scenario(fleet, callers, body)
 
-        services_scripts = [script, script]
-        return self.run_scenario(with_readers, SERVICES, FAR, scripts=services_scripts)
+        scripts = [script, script]
+        return self.run_scenario(with_readers, SERVICES, FAR, scripts=scripts)
 
     @staticmethod
     def unsent_bytes(fleet):
@@ -67,7 +67,7 @@
         return sum(t.get_write_buffer_size() for t in transports if t is not None)
 
     def check(self, here):
-        async def scenario(fleet, callers, sent, body):
+        async def scenario(fleet, callers, body):
             held = [self.unsent_bytes(fleet), max(memory_in_use(fleet))]
             path = "/here/small" if here else "/small"
             small = (await fleet.ask(path, request_id="small"))[0]
@@ -112,7 +112,7 @@
         self.assertLess(held, 2.25 * self.SIZE)
 
     def test_that_leave_free_the_server_and_the_memory(self):
-        async def scenario(fleet, callers, sent, body):
+        async def scenario(fleet, callers, body):
             for _, writer in callers:
                 writer.transport.abort()
             await fleet.until(lambda: memory_in_use(fleet) == [0, 0])
@@ -134,10 +134,7 @@
                 node._executor._connections.memory.budget.resize(MIB)
             reader, writer = await send_request(fleet, "/a")
             # Bytes of a later answer must not fill up the body either.
-            writer.write(
-                b"GET /small HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q2\r\n"
-                b"Authorization: Token key-1\r\n\r\n"
-            )
+            writer.write(request_bytes("/small", request_id="q2"))
             with contextlib.suppress(ConnectionError):
                 got = await asyncio.wait_for(reader.read(), 10.0)
                 head, _, body = got.partition(b"\r\n\r\n")
