--- a/damaskramp/relay/tests/test_caller_turns.py
+++ b/damaskramp/relay/tests/test_caller_turns.py
@@ -11,6 +11,7 @@
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.read_size import MIN_READ_BYTES
 from damaskramp.relay.shedding import SheddingLog
+from damaskramp.relay.tests.fakes import FakeTransport
 from damaskramp.testing import LoopTestCase
 
 MEMORY = 100_000_000
@@ -68,38 +69,8 @@
         self.assertEqual((False, ["first"], True), self.run_loop(scenario()))
 
 
-class _Transport(asyncio.Transport):
-    """Transport that keeps what is written, of a caller that reads at once."""
-
-    def __init__(self):
-        super().__init__({"peername": ("127.0.0.9", 1)})
-        self.written = bytearray()
-        self.reading = True
-        self.closed = False
-
-    def set_write_buffer_limits(self, high=None, low=None):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def write(self, data):
-        self.written += data
-
-    def pause_reading(self):
-        self.reading = False
-
-    def resume_reading(self):
-        self.reading = True
-
-    def is_closing(self):
-        return self.closed
-
-    def can_write_eof(self):
-        return False
-
-    def close(self):
-        self.closed = True
+class _Transport(FakeTransport):
+    """Transport of a caller that must not be cut off."""
 
     def abort(self):
         raise AssertionError("connection aborted")
