--- a/damaskramp/relay/tests/test_server_reads.py
+++ b/damaskramp/relay/tests/test_server_reads.py
@@ -1,7 +1,5 @@
 """Reads of the backend server's answers: no answer occupies the event loop."""
 
-import asyncio
-
 from damaskramp.core import ByteBudget, Counters
 from damaskramp.platform import PLATFORM_HEADERS
 from damaskramp.relay.backend_connection import ServerConnections
@@ -10,29 +8,13 @@
 from damaskramp.relay.read_size import PARTS_PER_READ
 from damaskramp.relay.server_answer import Exchange
 from damaskramp.relay.server_connection import ServerConnection
+from damaskramp.relay.tests.fakes import FakeTransport
 from damaskramp.testing import LoopTestCase
 
 HEAD = b"HTTP/1.1 200 OK\r\n%b: q1\r\n" % PLATFORM_HEADERS.request_id
 SIZE = 1_000_000
 
 
-class _Transport(asyncio.Transport):
-    def write(self, data):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def is_closing(self):
-        return False
-
-    def pause_reading(self):
-        pass
-
-    def resume_reading(self):
-        pass
-
-
 class _Exchange(Exchange):
     def __init__(self):
         self.answer = None
@@ -61,7 +43,7 @@
             budget = ByteBudget(100_000_000)
             pool = ServerConnections("127.0.0.1:1", names, float, counters, budget)
             connection, exchange = ServerConnection(pool), _Exchange()
-            connection.connection_made(_Transport())
+            connection.connection_made(FakeTransport())
             connection.send(exchange, b"q1", False, b"", b"")
             sizes, rest = [], memoryview(data)
             while rest:
