Keep the bytes of a complete body reserved while the account is exceeded

A body of unknown length releases its reservation at its end and reserves its length instead. Unread answers of callers are reserved regardless of the limit; if they exceeded the account at that moment, neither the length nor the earlier size could be reserved, and the body was held without any reservation. Its bytes are now reserved like others that are already held.

Tests: the new test in relay/tests/test_bodies.py failed before (0 of 100,000 bytes reserved); relay/tests/test_bodies.py pass.

--- a/damaskramp/relay/growing_body.py
+++ b/damaskramp/relay/growing_body.py
@@ -82,7 +82,9 @@
         if memory.reserve_alone(self._size):
             self._reserved = self._size
         elif not memory.reserve_alone(held):
-            self._reserved = 0
+            # Unread answers may exceed the account; these bytes are held all the same.
+            memory.budget.reserve_unchecked(self._size)
+            self._reserved = self._size
 
     def _free(self, size: int) -> None:
         # A part of a reservation beyond the limit can't be released.
--- a/damaskramp/relay/tests/test_bodies.py
+++ b/damaskramp/relay/tests/test_bodies.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from damaskramp.core import ByteBudget
+from damaskramp.core import ByteBudget, MemoryAccount
 from damaskramp.relay.body_source import (
     READ_BYTES,
     WINDOW_BYTES,
@@ -203,6 +203,19 @@
         body.finish()
         self.assertEqual((True, 2 * MIB), (body.is_ready, budget.used))
 
+    def test_bytes_that_are_held_stay_reserved_when_the_account_is_exceeded(self):
+        """Unread answers may exceed it; the body would be held beyond any limit."""
+        account = MemoryAccount(4 * MIB)
+        budget = account.share("bodies", 0, 4 * MIB)
+        body = GrowingBody(MemoryQueue(budget), 32 * MIB)
+        body.open()
+        body.feed(b"x" * 100_000)
+        account.share("answers", 0, 4 * MIB).reserve_unchecked(8 * MIB)
+        body.finish()
+        self.assertEqual(100_000, budget.used)
+        body.take(MIB)
+        self.assertEqual(0, budget.used)
+
 
 class UploadBodyTests(LoopTestCase):
     def test_large_and_small_uploads_do_not_hold_each_other_up(self):
