--- a/benchmarks/relay_idle.py
+++ b/benchmarks/relay_idle.py
@@ -3,12 +3,13 @@
 Run with ``python -m benchmarks.relay_idle [--sizes 12,48,200]
 [--evacuation-seconds 5]``; with the latter, nodes read evacuations. Run as
 ``PYTHONPATH=DIRECTORY python benchmarks/relay_idle.py``, it measures the nodes of
-another checkout, also of one that knows no evacuations. Several processes
-run the nodes, each node at its own loopback address; the stand-in of the store runs in
-this process. For each size, the benchmark prints the processor time of a node as a
-fraction of a core, the bytes per second that it sends to other nodes, the calls of all
-nodes to the store, and the greatest age of the configuration at any node. No requests
-are sent meanwhile.
+another checkout, also of one that knows no evacuations.
+
+Several processes run the nodes, each node at its own loopback address; the stand-in of
+the store runs in this process. For each size, the benchmark prints the processor time
+of a node as a fraction of a core, the bytes per second that it sends to other nodes,
+the calls of all nodes to the store, and the greatest age of the configuration at any
+node. No requests are sent meanwhile.
 """
 
 import argparse
--- a/tests/misbehaving.py
+++ b/tests/misbehaving.py
@@ -51,11 +51,11 @@
 HOLD_SECONDS = 1.0
 """Time, in seconds, for which a group keeps its connections open afterwards."""
 
-PATIENCE_SECONDS = 40.0
+RECOVERY_SECONDS = 40.0
 """Time, in seconds, in which the node must be back to normal; longer than its own
 timeouts for incomplete requests and for callers that do not read."""
 
-KILL_SHARE = 3
+KILL_FACTOR = 3
 """Multiple of its memory at which the node is ended, to protect this machine."""
 
 
@@ -67,13 +67,9 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
 
         with open(log_path, "wb") as log:
+            command = [sys.executable, "-m", "damaskramp.cli.node"]
             self._process = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "damaskramp.cli.node",
-                    f"--settings={settings_path}",
-                ],
+                [*command, f"--settings={settings_path}"],
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
@@ -95,7 +91,7 @@
         now, descriptors = usage
         self.peak_mb = max(self.peak_mb, now)
         self.peak_descriptors = max(self.peak_descriptors, descriptors)
-        if now > KILL_SHARE * MEMORY_MB and self.alive:
+        if now > KILL_FACTOR * MEMORY_MB and self.alive:
             self.killed = True
             self._process.kill()
 
@@ -110,7 +106,7 @@
         self._process.wait()
 
 
-class MisbehavedFleet(RelayFleet):
+class NodeProcessFleet(RelayFleet):
     """Fake store and backend server, with one node in a process of its own."""
 
     def __init__(self, script=None):
@@ -152,16 +148,22 @@
         await self.until_true(self.is_ready, "the node never became ready")
         await self.until_true(self.serves, "the node never served a request")
 
-    async def until_true(self, question, message):
-        """Ask until the result is true; one hanging question is asked again."""
+    async def until_true(self, condition, message):
+        """Wait until a condition holds; one that takes 10 s is tried again.
+
+        Raises
+        ------
+        AssertionError
+            If the process ends first, or the time to recover is over.
+        """
         loop = asyncio.get_running_loop()
-        end = loop.time() + PATIENCE_SECONDS
+        end = loop.time() + RECOVERY_SECONDS
         while loop.time() < end and self.process.alive:
             with contextlib.suppress(
                 OSError, EOFError, TimeoutError, asyncio.IncompleteReadError
             ):
                 async with asyncio.timeout(10.0):
-                    if await question():
+                    if await condition():
                         return
             await asyncio.sleep(0.1)
         log = self.log_path.read_text("utf-8", "replace")[-2000:]
@@ -269,7 +271,7 @@
         )
 
     async def _misbehave(self, port, count, behaviour, script, seconds, buffer):
-        fleet = MisbehavedFleet(script)
+        fleet = NodeProcessFleet(script)
         watching = None
         try:
             await fleet.start(limited_configuration())
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -6,8 +6,6 @@
 
 import asyncio
 
-import pytest
-
 from tests.misbehaving import (
     BODY_LIMIT,
     HEADER_LIMIT,
@@ -20,8 +18,6 @@
 )
 from tests.relay_fleet import field, ok
 
-pytestmark = pytest.mark.crowd
-
 CALLERS = 8101
 LENGTH = f"Content-Length: {BODY_LIMIT}"
 CHUNKED = "Transfer-Encoding: chunked"
--- a/tests/test_misbehaving_clients_servers.py
+++ b/tests/test_misbehaving_clients_servers.py
@@ -4,7 +4,6 @@
 import itertools
 
 import msgpack
-import pytest
 
 from damaskramp.relay.messages import Kind
 from tests.misbehaving import (
@@ -18,8 +17,6 @@
 )
 from tests.relay_fleet import field, ok
 
-pytestmark = pytest.mark.crowd
-
 CALLERS = 8101
 PEERS = 8102
 
--- a/tests/test_misbehaving_clients_status.py
+++ b/tests/test_misbehaving_clients_status.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import pytest
-
 from tests.misbehaving import (
     BODY_LIMIT,
     HEADER_LIMIT,
@@ -15,8 +13,6 @@
     stay,
 )
 
-pytestmark = pytest.mark.crowd
-
 
 class _StatusCases:
     PORT = 0
--- a/tests/test_relay_long_queue.py
+++ b/tests/test_relay_long_queue.py
@@ -36,24 +36,25 @@
 
 
 def call(n):
+    """Return an idempotent call for the first host with the request id ``qN``."""
+    head = b"GET /a HTTP/1.1\r\nX-Request-Id: q%d\r\nX-Expected-Instance: i-0\r\n" % n
     return Call(
-        n,
-        "i-0",
-        b"q%d" % n,
-        b"GET /a HTTP/1.1\r\nX-Request-Id: q%d\r\nX-Expected-Instance: i-0\r\n" % n,
-        b"",
-        False,
-        True,
-        20.0,
-        20.0,
-        2,
-        True,
-        "r-0",
-        b"",
-        0,
-        0.0,
-        False,
-        0.0,
+        number=n,
+        server="i-0",
+        request_id=b"q%d" % n,
+        head=head,
+        body=b"",
+        head_only=False,
+        idempotent=True,
+        remaining=20.0,
+        target=20.0,
+        priority=2,
+        is_call=True,
+        route="r-0",
+        key_digest=b"",
+        fingerprint=0,
+        repeat_share=0.0,
+        fail_fast=False,
     )
 
 
