--- a/benchmarks/relay_compare.py
+++ b/benchmarks/relay_compare.py
@@ -110,6 +110,8 @@
     options = parser.parse_args()
     if options.serve:
         asyncio.run(_serve_turns())
+    elif len(options.checkouts) != 2:
+        parser.error("two checkouts are needed")
     else:
         _compare(options.checkouts, options.turns)
 
