--- a/tests/soak/host.py
+++ b/tests/soak/host.py
@@ -29,7 +29,7 @@
         self.service = service
         self.zone = f"z{number % ZONES}"
         self.ip = f"{fleet.prefix}.{number + 1}"
-        self.backend = Backend(fleet, self, number)
+        self.backend = Backend(fleet, self)
         server_address = (self.ip, fleet.backend_port)
         self.server_proxy = Proxy((self.ip, fleet.server_port), server_address)
         self.peers_proxy = Proxy(
@@ -92,7 +92,10 @@
             self._process.send_signal(number)
 
     async def end_node(self, number, seconds):
-        """End the process by a signal; kill it if it still lives after some seconds."""
+        """End the process by a signal; kill it if it still lives after some seconds.
+
+        Returns whether it ended before.
+        """
         self.expected_end = True
         self.signal(number)
         limit = time.monotonic() + seconds
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -40,17 +40,17 @@
         Clock time in seconds until which the server is cold.
     """
 
-    def __init__(self, fleet, host, number):
+    def __init__(self, fleet, host):
         self._fleet = fleet
         self._host = host
-        self._random = random.Random(f"{fleet.seed}/{number}")
+        self._random = random.Random(f"{fleet.seed}/{host.number}")
         self._writers = set()
         self._server = None
         self._calls = 0
         self._starts = 0
         self._notices = {}
         self._start_lock = asyncio.Lock()
-        self.number = number
+        self.number = host.number
         self.faults = set()
         self.running = 0
         self.is_leaving = False
