Soak: a planted fault has the event that it needs clear of other faults

A planted fault can name the kind of event that it needs. Its schedules by seed get one more event of that kind on the first host, 4 s after the end of all others.

--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -8,6 +8,8 @@
 import sys
 from collections.abc import Callable
 
+from tests.soak.schedule import EventKind
+
 __all__ = ["MUTANTS", "Mutant"]
 
 
@@ -21,10 +23,14 @@
         Promise that the fault breaks; a key of `PROMISES`.
     plant : callable
         Replaces a function of the program.
+    occasion : EventKind or None
+        Kind of an event that a schedule must have clear of others, so that no other
+        fault excuses what the planted one does; None if any schedule will do.
     """
 
     promise: str
     plant: Callable[[], None]
+    occasion: EventKind | None = None
 
 
 def _replace(owner, name, value):
@@ -288,7 +294,9 @@
     "forgets_teams": Mutant("right_team", _forget_the_team),
     "cuts_at_stops": Mutant("planned_stops", _ignore_stops),
     "ignores_evacuations": Mutant("evacuated_zones", _ignore_evacuations),
-    "ignores_leaving": Mutant("left_servers", _ignore_leaving_servers),
+    "ignores_leaving": Mutant(
+        "left_servers", _ignore_leaving_servers, EventKind.DRAINS
+    ),
     "ignores_announcements": Mutant("announced_leaving", _ignore_announcements),
     "keeps_configuration": Mutant("configuration_in_force", _keep_first_configuration),
     "keeps_bodies": Mutant("bounded_memory", _keep_every_body),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,7 +17,7 @@
 from tests.soak.fleet import SoakFleet
 from tests.soak.mutants import MUTANTS
 from tests.soak.record import Record
-from tests.soak.schedule import Schedule, make_schedule
+from tests.soak.schedule import Schedule, make_schedule, with_clear_event
 
 __all__ = ["REGRESSIONS_FOLDER", "main", "run_schedule", "shrink"]
 
@@ -208,10 +208,14 @@
         files = sorted(REGRESSIONS_FOLDER.glob("*.json"))
         return [Schedule.from_json(file.read_text("utf-8")) for file in files]
     first = SEED.value if SEED.value is not None else int(time.time())
-    return [
+    schedules = [
         make_schedule(first + number, SECONDS.value, NODES.value)
         for number in range(SEEDS.value)
     ]
+    occasion = MUTANTS[MUTANT.value].occasion if MUTANT.value else None
+    if occasion is not None:
+        schedules = [with_clear_event(s, occasion) for s in schedules]
+    return schedules
 
 
 def main(arguments):
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -10,7 +10,7 @@
 import random
 from enum import Enum
 
-__all__ = ["Event", "EventKind", "Schedule", "make_schedule"]
+__all__ = ["Event", "EventKind", "Schedule", "make_schedule", "with_clear_event"]
 
 WARM_UP_SECONDS = 3.0
 """Time before the first event, so that rates and counts have a start without faults."""
@@ -23,6 +23,10 @@
 
 SERIES_GAP_SECONDS = 0.4
 
+CLEAR_SECONDS = 4.0
+"""Time between the end of a schedule and an event that is clear of all others: the 3 s
+for which the checks excuse a host after a fault, and 1 s in which a server starts."""
+
 
 class EventKind(Enum):
     """Kind of an event; the value is its name in a saved schedule."""
@@ -244,3 +248,23 @@
         at += source.expovariate(1.0 / MEAN_GAP_SECONDS)
     events.sort(key=lambda event: event.at)
     return Schedule(seed, seconds, hosts, tuple(events))
+
+
+def with_clear_event(schedule, kind):
+    """Return the schedule with a further event that no other one is near.
+
+    The event is of the given kind, on the first host, and lasts as long as one of its
+    kind may. Other events keep their time, so the schedule of a seed stays the same up
+    to there.
+
+    Examples
+    --------
+    >>> schedule = with_clear_event(make_schedule(3, 20.0, 6), EventKind.DRAINS)
+    >>> schedule.events[-1].at
+    24.0
+    """
+    at = schedule.seconds + CLEAR_SECONDS
+    length = DURATIONS.get(kind, DEFAULT_DURATION)[1]
+    event = Event(at, kind, 0, length)
+    events = (*schedule.events, event)
+    return dataclasses.replace(schedule, seconds=at + length, events=events)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,7 @@
 from tests.soak.proxy import Proxy
 from tests.soak.record import Arrival, Notice, Record, Sent, Told
 from tests.soak.run import REGRESSIONS_FOLDER, run_schedule
-from tests.soak.schedule import EventKind, Schedule, make_schedule
+from tests.soak.schedule import EventKind, Schedule, make_schedule, with_clear_event
 
 SHORT_SEED = 4
 SHORT_SECONDS = 14.0
@@ -277,6 +277,17 @@
             schedule = Schedule.from_json(file.read_text("utf-8"))
             self.assertNotEqual("", schedule.cause, file.name)
 
+    def test_a_clear_event_is_near_no_other(self):
+        """Guards against planted faults that other faults excuse."""
+        for seed in range(200, 204):
+            schedule = make_schedule(seed, 25.0, 6)
+            extended = with_clear_event(schedule, EventKind.DRAINS)
+            *others, last = extended.events
+            self.assertEqual(list(schedule.events), others)
+            self.assertIs(EventKind.DRAINS, last.kind)
+            latest = max(event.at + event.seconds for event in others)
+            self.assertGreater(last.at - latest, Bounds().stable_window)
+
     def test_all_kinds_occur_in_few_seeds(self):
         """Guards against planted faults whose occasion a few seeds do not contain."""
         for first in range(0, 40, 4):
