Requests wait at the only server that is not limited

Cause: a server's node refuses every offer but the last that would wait for longer than it runs, so that the request finds a free slot elsewhere. Where the only other server is cold and has no room, that server refuses too, and the caller got 503 although the warm server would have run the request within milliseconds. With 7 usable slots this takes 15 requests in one turn of the event loop, as after halts of the process: 0.17 s of time.sleep in one piece, or several of 0.07 s with one turn between. Retry-After was 0.05 to 0.1 s, the shortest, as the warm server expected room at once.

Change: an offer does not fail fast if its server is unlimited and all others lack room within their limits or are cold and have not reported (ServerSelector.has_only_room).

Halts of 0.07 s in every turn for half a second still end in refusals.

--- a/damaskramp/dispatch/selection.py
+++ b/damaskramp/dispatch/selection.py
@@ -160,6 +160,33 @@
         ]
         return self._pick_fastest(scored)
 
+    def has_only_room(
+        self,
+        server: BackendServer,
+        servers: Collection[BackendServer],
+        excluded: Collection[ServerId],
+        rank: int,
+        now: float,
+    ) -> bool:
+        """Whether a server is unlimited, and no other one has room within its limit.
+
+        A request that such a server refuses would be refused by the others as well.
+
+        Parameters
+        ----------
+        servers, excluded, rank
+            See `choose`.
+        """
+        record = self._record(server)
+        if record.rate_limit or self._lacks_room(server, record, rank, now):
+            return False
+        for other in servers:
+            if other is server or other.leaving or other.id in excluded:
+                continue
+            if not self._lacks_room(other, self._record(other), rank, now):
+                return False
+        return True
+
     def record_sent(self, server: BackendServer, rank: int = 0) -> None:
         """Record a request of a rank sent to a server."""
         record = self._record(server)
@@ -263,6 +290,17 @@
             return hints.wait(server, now)
         return max(0.0, record.rate_room_at.get(rank, 0.0) - now)
 
+    def _lacks_room(
+        self, server: BackendServer, record: ServerRecord, rank: int, now: float
+    ) -> bool:
+        """Whether a server's limit has no room, or it is cold and has not reported."""
+        if record.rate_limit:
+            return record.rate_room_at.get(rank, 0.0) > now
+        hints = self._cold_hints
+        if hints is None or record.reported_start == server.started:
+            return False
+        return hints.warmup_left(server) > 0.0
+
     def _warmup_left(self, server: BackendServer, now: float) -> float:
         record = self._record(server)
         if record.reported_start == server.started:
--- a/damaskramp/dispatch/tests/test_cold_hints.py
+++ b/damaskramp/dispatch/tests/test_cold_hints.py
@@ -194,3 +194,35 @@
         self.assertLessEqual(
             max(warmup_retry_after(20.0, 60.0, source) for _ in range(100)), 5.0
         )
+
+
+class TestOnlyRoom(TestCase):
+    """A request waits at the only server that can take it, rather than fail fast there.
+
+    Otherwise a burst at one warm server was refused, as the cold one had no room.
+    """
+
+    def has_only_room(self, chooser, *others, excluded=()):
+        warm = server("warm")
+        return chooser.has_only_room(warm, [warm, *others], excluded, 1, 0.0)
+
+    def test_cold_servers_without_room_do_not_count(self):
+        cold, unreported = server("cold", warmup=2.0), server("new", warmup=3.0)
+        chooser = selector()
+        chooser.record_load(cold, cold_load(), 0.0, 1)
+        self.assertTrue(self.has_only_room(chooser, cold, unreported))
+
+    def test_room_at_another_server_counts(self):
+        cold, warm = server("cold", warmup=2.0), server("a")
+        chooser = selector()
+        chooser.record_load(cold, cold_load(wait=0.0), 0.0, 1)
+        self.assertFalse(self.has_only_room(chooser, cold))
+        self.assertFalse(self.has_only_room(chooser, warm))
+        self.assertTrue(self.has_only_room(chooser, warm, excluded={"a"}))
+
+    def test_cold_server_is_not_queued_at(self):
+        cold, other = server("cold", warmup=2.0), server("new", warmup=3.0)
+        chooser = selector()
+        chooser.record_load(cold, cold_load(), 0.0, 1)
+        self.assertFalse(chooser.has_only_room(cold, [cold, other], (), 1, 0.0))
+        self.assertFalse(chooser.has_only_room(other, [cold, other], (), 1, 0.0))
--- a/damaskramp/relay/request_attempts.py
+++ b/damaskramp/relay/request_attempts.py
@@ -68,7 +68,7 @@
         eligible = self._eligible_servers()
         server = self._choose(eligible)
         if server is not None:
-            self._send_to(server, len(eligible))
+            self._send_to(server, eligible)
             return
         servers = self._reachable_servers()
         rejection = self._forwarder.eligibility.rejection(servers, self._homes)
@@ -81,12 +81,16 @@
         )
         self._refuse(reason, max(self._attempts.wait, MIN_NO_SERVER_RETRY_SECONDS))
 
-    def _send_to(self, server: BackendServer, eligible: int) -> None:
-        """Send the request to one of a number of eligible servers."""
-        forwarder = self._forwarder
+    def _send_to(self, server: BackendServer, eligible: list[BackendServer]) -> None:
+        """Send the request to one of the eligible servers."""
+        forwarder, attempts = self._forwarder, self._attempts
         now = forwarder.clock()
-        others = eligible - len(self._attempts.tried) - 1
-        fail_fast = self._attempts.should_fail_fast(others, len(self._request.body))
+        others = len(eligible) - len(attempts.tried) - 1
+        fail_fast = attempts.should_fail_fast(
+            others, len(self._request.body)
+        ) and not forwarder.selector.has_only_room(
+            server, eligible, attempts.tried, self._rank, now
+        )
         if self._loop_timer is None:
             # An earlier answer has broken off on its way.
             self._start_timer()
@@ -131,7 +135,7 @@
         self._forwarder.counters.add("silent_servers")
         if self._forwarder.log.wants_line():
             self._log("request sent again", reason="silent", silent=attempt.server.id)
-        self._send_to(server, len(eligible))
+        self._send_to(server, eligible)
 
     def answer_started(self, attempt: ServerAttempt) -> None:
         """Deliver an answer that is on its way even after the deadline."""
--- a/tests/test_relay_cold_servers.py
+++ b/tests/test_relay_cold_servers.py
@@ -128,6 +128,37 @@
         self.assertLessEqual(refused, 6)
         self.assertLessEqual(most_in_second(server.arrivals), BOUND)
 
+    def test_requests_wait_at_the_warm_server_while_the_cold_one_has_no_room(self):
+        # Requests that came together, as after a halt of the process, were refused by
+        # the warm server, which could have run them within milliseconds, and then by
+        # the cold one.
+        server, warm = ColdStandIn(30.0), ColdStandIn(0.0)
+
+        def script(request):
+            async def run():
+                await asyncio.sleep(0.1)
+                return ok(request)
+
+            answer = warm(request)
+            return run() if b"/slow " in request else answer
+
+        async def scenario(fleet):
+            warmup = fleet.nodes[1]._executor.warmup
+            await fleet.until(lambda: server.checks and warmup.warmth is Warmth.WARM)
+            await self.load(fleet, [2], 20, 0.2)
+            return await asyncio.gather(
+                *(fleet.ask("/slow", n=2, request_id=f"s{n}") for n in range(24))
+            )
+
+        answers = self.run_cold(
+            scenario,
+            server,
+            {"warmup-left": "30s"},
+            services=("svc", "svc", "other"),
+            others=(script, None),
+        )
+        self.assertEqual({200}, {status for status, *_ in answers})
+
     def test_joining_server_stays_below_the_bound_and_is_used(self):
         server = ColdStandIn(60.0)
 
