Tests: one collector of log records, one clock of the fleet's tests, two checks

The collector of log records was written twice and the clock four times. In test_relay_chain_admission the outcome of a logged refusal had a default, so a line without the field passed. The comment that lines may be left out was wrong, as the test lifts their limit. In test_relay_lineage a set was reduced by an element that the assertion doesn't look for.

--- a/damaskramp/fleet/tests/test_directory.py
+++ b/damaskramp/fleet/tests/test_directory.py
@@ -14,6 +14,7 @@
     StorePosition,
 )
 from damaskramp.fleet.host_list import HOST_RETENTION_SECONDS
+from damaskramp.fleet.tests.clock import Clock
 
 
 def server(name, revision, leaving=False, address="10.0.0.1:80", started=0):
@@ -22,14 +23,6 @@
     )
 
 
-class Clock:
-    def __init__(self):
-        self.now = 0.0
-
-    def __call__(self):
-        return self.now
-
-
 class TestDirectory(TestCase):
     @given(
         st.lists(
--- a/damaskramp/fleet/tests/test_directory_parts.py
+++ b/damaskramp/fleet/tests/test_directory_parts.py
@@ -11,6 +11,7 @@
     TOMBSTONE_SECONDS,
     Removals,
 )
+from damaskramp.fleet.tests.clock import Clock
 
 
 def _server(name, host="10.0.0.1", epoch=0, revision=1, warmup=0.0, started=0):
@@ -28,20 +29,12 @@
     )
 
 
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
 class TestHostList(TestCase):
     """Rates are divided by the number of hosts, which must not fall too early."""
 
     def setUp(self):
         super().setUp()
-        self.clock = Clock()
+        self.clock = Clock(100.0)
         self.hosts = HostList(self.clock)
 
     def test_a_host_counts_for_a_while_after_its_server_was_listed(self):
@@ -73,7 +66,7 @@
 
     def setUp(self):
         super().setUp()
-        self.clock = Clock()
+        self.clock = Clock(100.0)
         self.removals = Removals(self.clock)
 
     def test_deletions_are_remembered_for_a_time(self):
@@ -107,7 +100,7 @@
 class TestListedServers(TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = Clock()
+        self.clock = Clock(100.0)
         self.listed = ListedServers(self.clock)
 
     def test_the_latest_lifetime_at_an_address_is_found(self):
@@ -136,7 +129,7 @@
 class TestOverriddenServer(TestCase):
     def test_the_warmup_of_a_server_that_is_listed_again_ends(self):
         """It was cold for ever, since the time of its entry had been forgotten."""
-        clock = Clock()
+        clock = Clock(100.0)
         directory = Directory(clock)
         server = _server("x", epoch=2, revision=3, warmup=3.0)
         directory.replace([server], StorePosition(2, 4))
--- a/damaskramp/fleet/tests/test_evacuations.py
+++ b/damaskramp/fleet/tests/test_evacuations.py
@@ -14,6 +14,7 @@
     StorePosition,
 )
 from damaskramp.fleet.evacuations import KEPT_SECONDS
+from damaskramp.fleet.tests.clock import Clock
 
 TERMS = EvacuationTerms(effect_seconds=5.0)
 ZONES = ("z1", "z2")
@@ -35,18 +36,10 @@
     )
 
 
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
 class EvacuationsTestCase(TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = Clock()
+        self.clock = Clock(100.0)
         self.evacuations = self.host()
 
     def host(self):
--- a/damaskramp/fleet/tests/test_restored_store.py
+++ b/damaskramp/fleet/tests/test_restored_store.py
@@ -8,6 +8,7 @@
 
 from damaskramp.fleet import BackendServer, Directory, Removal, StorePosition
 from damaskramp.fleet.directory import OVERRIDE_SECONDS, REREGISTRATION_SECONDS
+from damaskramp.fleet.tests.clock import Clock
 
 SERVERS = "abc"
 HOSTS = 3
@@ -19,18 +20,10 @@
     )
 
 
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
 class TestEpochs(TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = Clock()
+        self.clock = Clock(100.0)
         self.directory = Directory(self.clock)
         self.directory.replace([server("a", 3), server("b", 4)], StorePosition(1, 4))
 
@@ -235,7 +228,7 @@
     def test_all_hosts_list_what_the_servers_say_once_they_have_said_it_again(
         self, actions
     ):
-        clock, store = Clock(), Store()
+        clock, store = Clock(100.0), Store()
         hosts = [Host(clock) for _ in range(HOSTS)]
         for step, action in enumerate(actions, 1):
             self.apply(action, step, clock, store, hosts)
--- a/tests/test_relay_chain_admission.py
+++ b/tests/test_relay_chain_admission.py
@@ -1,21 +1,12 @@
 """Refusal by real nodes at the top of a chain whose last service rejects requests."""
 
 import asyncio
-import logging
 
+from tests.log_records import collected_records
 from tests.relay_fleet import RelayTestCase, field, ok
 from tests.test_relay_lineage import CHAIN, CONFIG
 
 
-class _Records(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
-
-
 class TestChainAdmission(RelayTestCase):
     def play(self, chain_control):
         """Ask for a while with a healthy board, then while it rejects, then after."""
@@ -66,13 +57,8 @@
 
         scripts = [calling(0, "/registry/a"), calling(1, "/board/a"), board]
         options = {"config": CONFIG, "scripts": scripts}
-        handler, logger = _Records(), logging.getLogger("damaskramp")
-        logger.addHandler(handler)
-        logger.setLevel(logging.INFO)
-        try:
-            return *self.run_scenario(scenario, CHAIN, **options), handler.records
-        finally:
-            logger.removeHandler(handler)
+        with collected_records() as records:
+            return *self.run_scenario(scenario, CHAIN, **options), records
 
     def test_requests_are_refused_before_they_run_and_served_again_after(self):
         healthy, stressed, run, after, records = self.play(True)
@@ -88,8 +74,7 @@
         ]
         self.assertTrue(refused)
         self.assertEqual({"board"}, {one.stressed_service for one in refused})
-        # Both lines share one limit, so that either may have been left out.
-        outcomes = {getattr(one, "outcome", "not-run") for one in refused}
+        outcomes = {one.outcome for one in refused if one.msg == "request refused"}
         self.assertEqual({"not-run"}, outcomes)
 
     def test_nothing_is_refused_without_the_setting(self):
--- a/tests/test_relay_lineage.py
+++ b/tests/test_relay_lineage.py
@@ -105,7 +105,7 @@
         _, _, calls = self.play([("key-1", 2000), ("key-g", 2600)], own_limit_ms=300)
         ranks = {(service, call.root_rank) for service, call in calls}
         self.assertIn(("registry", -1), ranks)
-        self.assertNotIn(("registry", 3), ranks - {("registry", -1)})
+        self.assertNotIn(("registry", 3), ranks)
 
     def test_calls_of_a_lost_state_are_served_without_lineage(self):
         """The state of a restarted node is empty, so its calls match nothing."""
--- a/tests/test_relay_logs.py
+++ b/tests/test_relay_logs.py
@@ -9,21 +9,13 @@
 import os
 from pathlib import Path
 
+from tests.log_records import collected_records
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, ok, route
 
 GOLDEN = Path(__file__).parent / "golden" / "logs"
 VARYING = ("seconds", "wait", "permits", "limit")
 
 
-class _RecordCollector(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
-
-
 def format_records(records, request_id):
     """Format the records of one request; values that vary become a placeholder."""
     standard_fields = set(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
@@ -41,15 +33,9 @@
 
 class TestGoldenLogs(RelayTestCase):
     def check_log(self, name, scenario, *args, **options):
-        handler = _RecordCollector()
-        logger = logging.getLogger("damaskramp")
-        logger.addHandler(handler)
-        logger.setLevel(logging.INFO)
-        try:
+        with collected_records() as records:
             self.run_scenario(scenario, *args, **options)
-        finally:
-            logger.removeHandler(handler)
-        text = format_records(handler.records, "q1")
+        text = format_records(records, "q1")
         path = GOLDEN / f"{name}.txt"
         if os.environ.get("DAMASKRAMP_GOLDEN") == "write":
             path.parent.mkdir(exist_ok=True)
