Relay: unused property, repeated condition and repeated refusal removed

FleetView.own_server_leaving was used by tests only. RelaySettings.limits_cold_servers repeated WarmupSettings.is_stated; the node derives that value from its settings in one place (part_settings.warmup_settings). Run.start refuses in one place. The reason of the lineage counter is found in one step, and imports of one name are on one line.

--- a/damaskramp/fleet/removals.py
+++ b/damaskramp/fleet/removals.py
@@ -2,13 +2,7 @@
 
 from collections.abc import Callable
 
-from damaskramp.fleet.model import (
-    Epoch,
-    Removal,
-    Revision,
-    ServerId,
-    StorePosition,
-)
+from damaskramp.fleet.model import Epoch, Removal, Revision, ServerId, StorePosition
 
 __all__ = ["Removals"]
 
--- a/damaskramp/relay/fleet_view.py
+++ b/damaskramp/relay/fleet_view.py
@@ -142,12 +142,6 @@
         own = self.own_server
         return own.slots if own is not None else 0
 
-    @property
-    def own_server_leaving(self) -> bool:
-        """Whether the backend server on this host takes no new requests."""
-        own = self.own_server
-        return own is not None and own.leaving
-
     @property
     def evacuations_known(self) -> bool:
         """Whether the evacuated zones are known, where zones are evacuated at all."""
--- a/damaskramp/relay/forwarded_request.py
+++ b/damaskramp/relay/forwarded_request.py
@@ -1,15 +1,10 @@
 """Forwarding of one caller's request to backend servers, and of the answer back."""
 
 from damaskramp.core import Reason
-from damaskramp.dispatch import (
-    Lineage,
-    RefusalBudget,
-)
+from damaskramp.dispatch import Lineage, RefusalBudget
 from damaskramp.relay.identity import identify
 from damaskramp.relay.outgoing import OutgoingRequest
-from damaskramp.relay.request_answer import (
-    MISSING_CONFIGURATION_RETRY_SECONDS,
-)
+from damaskramp.relay.request_answer import MISSING_CONFIGURATION_RETRY_SECONDS
 from damaskramp.relay.request_attempts import RequestAttempts
 
 __all__ = ["ForwardedRequest"]
--- a/damaskramp/relay/node_parts.py
+++ b/damaskramp/relay/node_parts.py
@@ -19,7 +19,6 @@
     SlotSettings,
     Suspects,
     SuspectSettings,
-    WarmupSettings,
     ZoneDistances,
 )
 from damaskramp.fleet import FleetSource
@@ -40,6 +39,7 @@
     evacuations_of,
     key_max_age,
     retry_budget_settings,
+    warmup_settings,
     watcher_settings,
 )
 from damaskramp.relay.peers import Peers
@@ -124,9 +124,7 @@
 
     def _build_executor(self) -> None:
         settings, clock, counters = self._settings, self._clock, self.counters
-        cold = ColdServer(
-            WarmupSettings(settings.warmup_overshoot, settings.warmup_slack), clock()
-        )
+        cold = ColdServer(warmup_settings(settings), clock())
         health_check = HealthCheck(settings.backend_address, self._header_names)
         warmup = ServerWarmup(cold, self.fleet_view, health_check, clock, counters)
         self.executor = Executor(
@@ -188,7 +186,7 @@
             SelectionSettings(),
             self.fleet_view.zone,
             self._random,
-            self.cold_hints if settings.limits_cold_servers else None,
+            self.cold_hints if warmup_settings(settings).is_stated else None,
             distances.round_trip,
         )
         loads = LoadExchange(ExchangeSettings(), directory.of_service, self._random)
--- a/damaskramp/relay/part_settings.py
+++ b/damaskramp/relay/part_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from damaskramp.dispatch import RetryBudgetSettings
+from damaskramp.dispatch import RetryBudgetSettings, WarmupSettings
 from damaskramp.fleet import Evacuations, EvacuationTerms
 from damaskramp.relay.settings import RelaySettings
 from damaskramp.relay.watcher import WatcherSettings
@@ -11,6 +11,7 @@
     "evacuations_of",
     "key_max_age",
     "retry_budget_settings",
+    "warmup_settings",
     "watcher_settings",
     "with_fixed_settings",
 ]
@@ -83,3 +84,8 @@
     return RetryBudgetSettings(
         settings.retry_ratio, settings.retry_window, settings.retry_allowance
     )
+
+
+def warmup_settings(settings: RelaySettings) -> WarmupSettings:
+    """Bound on the requests to cold backend servers."""
+    return WarmupSettings(settings.warmup_overshoot, settings.warmup_slack)
--- a/damaskramp/relay/request_answer.py
+++ b/damaskramp/relay/request_answer.py
@@ -3,9 +3,7 @@
 import asyncio
 
 from damaskramp.core import Outcome, Reason
-from damaskramp.dispatch import (
-    ordered_retry_after,
-)
+from damaskramp.dispatch import ordered_retry_after
 from damaskramp.relay.body_source import BodySource, discard_body
 from damaskramp.relay.caller_request import CallerRequest
 from damaskramp.relay.forwarding_state import ForwardingState
--- a/damaskramp/relay/request_attempts.py
+++ b/damaskramp/relay/request_attempts.py
@@ -3,11 +3,7 @@
 import asyncio
 
 from damaskramp.core import Reason
-from damaskramp.dispatch import (
-    NO_INFERENCE,
-    Load,
-    unpack_pressure,
-)
+from damaskramp.dispatch import NO_INFERENCE, Load, unpack_pressure
 from damaskramp.fleet import BackendServer
 from damaskramp.relay.body_source import BodySource
 from damaskramp.relay.request_answer import (
--- a/damaskramp/relay/request_record.py
+++ b/damaskramp/relay/request_record.py
@@ -77,10 +77,8 @@
         inference = forwarder.executor.running_requests.infer(
             self._entry.route.name, deadline, stated_ms
         )
-        matched = ("unmatched", "matched")[inference.matches == 1]
-        if inference.matches > 1:
-            matched = "ambiguous"
-        forwarder.counters.add("lineage", reason=matched)
+        found = ("unmatched", "matched", "ambiguous")[min(inference.matches, 2)]
+        forwarder.counters.add("lineage", reason=found)
         executor = forwarder.executor
         is_sure = inference.confidence is Confidence.SURE
         executor.chains.calls_per_run.record_call(
--- a/damaskramp/relay/server_run.py
+++ b/damaskramp/relay/server_run.py
@@ -65,12 +65,10 @@
         """
         executor, call = self._executor, self.call
         remaining = self.work.deadline - now
-        if remaining < MIN_RUN_SECONDS:
-            self.work.reached = False
-            self.refuse(Reason.DEADLINE_EXCEEDED, 0.0, False)
-            return
         refusal_reason = None
-        if not is_checked:
+        if remaining < MIN_RUN_SECONDS:
+            refusal_reason = Reason.DEADLINE_EXCEEDED
+        elif not is_checked:
             refusal_reason = executor.checks.find_refusal_reason(call, now)
         if refusal_reason is not None:
             self.work.reached = False
--- a/damaskramp/relay/settings.py
+++ b/damaskramp/relay/settings.py
@@ -85,11 +85,6 @@
     evacuation_seconds: float | None = None
     chain_control: bool = False
 
-    @property
-    def limits_cold_servers(self) -> bool:
-        """Whether the requests to cold backend servers are bounded."""
-        return self.warmup_overshoot is not None and self.warmup_slack is not None
-
 
 SECTIONS = {
     "host": ("relay", "text"),
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -151,7 +151,7 @@
     def test_leaving_server_gets_no_new_requests(self):
         async def scenario(fleet):
             fleet.list_server(0, state="draining")
-            await fleet.until(lambda: fleet.nodes[0]._fleet_view.own_server_leaving)
+            await fleet.until(lambda: fleet.nodes[0]._fleet_view.own_server.leaving)
             statuses = [(await fleet.ask("/a", n=1))[0] for _ in range(5)]
             return statuses, len(fleet.servers[0].seen)
 
--- a/tests/test_relay_long_queue.py
+++ b/tests/test_relay_long_queue.py
@@ -100,6 +100,6 @@
         async def leave(fleet):
             fleet.list_server(0, state="draining", slots=SLOTS)
             view = fleet.nodes[0]._fleet_view
-            await fleet.until(lambda: view.own_server_leaving)
+            await fleet.until(lambda: view.own_server.leaving)
 
         self.refuse_queue(leave)
--- a/tests/test_time_of_day.py
+++ b/tests/test_time_of_day.py
@@ -63,7 +63,7 @@
                 await fleet.until(lambda: node._fleet_view.version == 2)
                 withdrawn = (await fleet.ask("/a", key="key-2"))[0]
                 fleet.list_server(0, state="draining")
-                await fleet.until(lambda: node._fleet_view.own_server_leaving)
+                await fleet.until(lambda: node._fleet_view.own_server.leaving)
                 seen = len(fleet.servers[0].seen)
                 leaving = (await fleet.ask("/a"))[0]
                 return statuses, withdrawn, leaving, len(fleet.servers[0].seen) - seen
