--- a/damaskramp/fleet/tests/test_directory_parts.py
+++ b/damaskramp/fleet/tests/test_directory_parts.py
@@ -11,14 +11,17 @@
     TOMBSTONE_SECONDS,
     Removals,
 )
+from damaskramp.fleet.tests.clock import Clock
 
 
-def _server(name, host="10.0.0.1", epoch=0, revision=1, warmup=0.0, started=0):
+def _server(
+    name, host="10.0.0.1", epoch=0, revision=1, warmup=0.0, started=0, zone="a"
+):
     return BackendServer(
         name,
         "draws",
         f"{host}:80",
-        "a",
+        zone,
         8,
         False,
         warmup,
@@ -28,20 +31,12 @@
     )
 
 
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
 class TestHostList(TestCase):
     """Rates are divided by the number of hosts, which must not fall too early."""
 
     def setUp(self):
         super().setUp()
-        self.clock = Clock()
+        self.clock = Clock(100.0)
         self.hosts = HostList(self.clock)
 
     def test_a_host_counts_for_a_while_after_its_server_was_listed(self):
@@ -52,6 +47,12 @@
         self.clock.now += 2.0
         self.assertEqual([], self.hosts.hosts([]))
 
+    def test_a_host_that_is_listed_again_has_its_new_zone(self):
+        self.hosts.record_left(_server("x"))
+        later = _server("y", zone="b")
+        self.hosts.record_listed(later, None)
+        self.assertEqual([("10.0.0.1", "b")], self.hosts.hosts([later]))
+
     def test_the_same_list_is_returned_until_a_change(self):
         """The readers of a zone are computed anew for each new list."""
         first = self.hosts.hosts([_server("x")])
@@ -73,7 +74,7 @@
 
     def setUp(self):
         super().setUp()
-        self.clock = Clock()
+        self.clock = Clock(100.0)
         self.removals = Removals(self.clock)
 
     def test_deletions_are_remembered_for_a_time(self):
@@ -98,6 +99,11 @@
         self.assertEqual([], self.removals.late)
         self.assertEqual({"x", "y"}, {removal.server for removal in self.removals.all})
 
+    def test_a_deletion_with_a_newer_one_is_not_late(self):
+        self.removals.add(Removal("x", 5), StorePosition(0, 6))
+        self.removals.add(Removal("x", 8), StorePosition(0, 6))
+        self.assertEqual([], self.removals.late)
+
     def test_a_server_that_is_listed_again_is_forgotten(self):
         self.removals.add(Removal("x", 5), StorePosition(0, 6))
         self.removals.forget("x")
@@ -107,7 +113,7 @@
 class TestListedServers(TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = Clock()
+        self.clock = Clock(100.0)
         self.listed = ListedServers(self.clock)
 
     def test_the_latest_lifetime_at_an_address_is_found(self):
@@ -136,7 +142,7 @@
 class TestOverriddenServer(TestCase):
     def test_the_warmup_of_a_server_that_is_listed_again_ends(self):
         """It was cold for ever, since the time of its entry had been forgotten."""
-        clock = Clock()
+        clock = Clock(100.0)
         directory = Directory(clock)
         server = _server("x", epoch=2, revision=3, warmup=3.0)
         directory.replace([server], StorePosition(2, 4))
