Callers: counter of full turns of the event loop

The bound on the requests that begin in one turn had no counter, so an operator could not see that it is in force. Tests: damaskramp/relay, damaskramp/dispatch, cold servers: 429 passed.

--- a/damaskramp/relay/caller_context.py
+++ b/damaskramp/relay/caller_context.py
@@ -56,5 +56,5 @@
         self.counters = counters
         self.memory = memory
         self.limits = CallerLimits()
-        self.turns = CallerTurns()
+        self.turns = CallerTurns(counters)
         self.closing = False
--- a/damaskramp/relay/caller_turns.py
+++ b/damaskramp/relay/caller_turns.py
@@ -9,6 +9,8 @@
 from abc import ABC, abstractmethod
 from collections import deque
 
+from damaskramp.core import Counters
+
 __all__ = ["CallerTurns", "TurnTaker"]
 
 REQUESTS_PER_TURN = 32
@@ -31,7 +33,8 @@
     began to wait. A request that arrives later waits behind them.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
         self._waiting: deque[TurnTaker] = deque()
         self._begun = 0
         self._is_scheduled = False
@@ -57,6 +60,8 @@
     def _start_turn(self) -> None:
         """Begin requests of connections that wait, up to the bound."""
         self._is_scheduled = False
+        if self._begun >= REQUESTS_PER_TURN:
+            self._counters.add("caller_turns_full")
         self._begun = 0
         # A connection that waits again during this turn is served in a later one.
         for _ in range(len(self._waiting)):
--- a/damaskramp/relay/tests/test_caller_turns.py
+++ b/damaskramp/relay/tests/test_caller_turns.py
@@ -39,16 +39,18 @@
 
     def test_requests_of_a_turn_are_bounded(self):
         async def scenario():
-            turns = CallerTurns()
+            counters = Counters()
+            turns = CallerTurns(counters)
             allowed = sum(turns.may_begin() for _ in range(10 * REQUESTS_PER_TURN))
             await asyncio.sleep(0)
-            return allowed, turns.may_begin()
+            full = counters.values.get(("caller_turns_full", ""))
+            return allowed, turns.may_begin(), full
 
-        self.assertEqual((REQUESTS_PER_TURN, True), self.run_loop(scenario()))
+        self.assertEqual((REQUESTS_PER_TURN, True, 1), self.run_loop(scenario()))
 
     def test_connections_take_turns_with_one_request_each(self):
         async def scenario():
-            turns, begun = CallerTurns(), []
+            turns, begun = CallerTurns(Counters()), []
             for name, requests in (("many", 5), ("one", 1), ("gone", 0), ("two", 2)):
                 turns.wait(_Taker(turns, name, begun, requests))
             for _ in range(10):
@@ -60,7 +62,7 @@
 
     def test_a_later_request_waits_behind_those_that_wait(self):
         async def scenario():
-            turns, begun = CallerTurns(), []
+            turns, begun = CallerTurns(Counters()), []
             turns.wait(_Taker(turns, "first", begun, 1))
             before = turns.may_begin()
             await asyncio.sleep(0)
