Review: case 7, a planned stop cuts requests that wait unrun at other hosts

One of three nodes gets SIGTERM under a constant load that fits into the slots. Requests that its callers sent 2 to 3 s later still wait at the servers of the other hosts when it exits, and their connections are closed without an answer.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -380,7 +380,9 @@
 class Fleet:
     """Platform, hosts and their servers; restarts nodes that end by themselves."""
 
-    def __init__(self, services, record, server_class=Server, **server_options):
+    def __init__(
+        self, services, record, server_class=Server, slots=64, **server_options
+    ):
         self.record = record
         self.prefix, self.ports = free_prefix_and_ports()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -399,6 +401,7 @@
             server_class(f"i-{n:04x}", service, record, **server_options)
             for n, service in enumerate(services)
         ]
+        self._slots = slots
         self._keeper = None
 
     async def start(self, routes, limits=None):
@@ -414,7 +417,7 @@
                     "address": f"{node.ip}:{self.ports[SERVER]}",
                     "zone": node.zone,
                     "version": "v1",
-                    "slots": 64,
+                    "slots": self._slots,
                     "state": "ready",
                     "warmup-left": "0ms",
                     "sequence": 1,
