--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -340,6 +340,14 @@
         self.is_wanted = True
         self._fleet.record.write(f"{self.name} started, pid {self.process.pid}")
 
+    def change_settings(self):
+        """Write the settings file with another bound; the node may read it again."""
+        text = self._path.read_text("utf-8")
+        changed = re.sub(
+            r"(?m)^revoke_seconds = .*$", 'revoke_seconds = "4500ms"', text
+        )
+        self._path.write_text(changed, "utf-8")
+
     @property
     def resident_mb(self):
         """Resident memory of the process in megabytes; 0 if it has ended."""
