--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+# Uses case.py and the stand-ins in review/stand_ins_2.py.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
