Streams are closed by those that open them

Seen: on Python 3.11.6 four of 1,170 tests failed in one run and others in the next, with "Event loop is closed" from StreamWriter.__del__. Streams were still open when their loop had closed, and their finalizers ran in whichever test the garbage collector happened to run.

The finalizer of 3.11.7 only issues a ResourceWarning there, which is ignored by default. A record of all writers showed the owners:

- HttpClient kept a connection for reuse whose answer ended after close(); nobody closed it any more (test_large_answers).
Product; such a connection is closed now.
Test: TestClosedClient, which failed before with "streams left open".
- Servers of tests: asyncio.start_server leaves connections open whose handlers keep them, forget them or are cancelled before their first step (test_relay_beliefs, test_relay_kept_connections, the stand-ins of test_relay_links and of all relay fleets).
StreamServer of damaskramp.testing owns its connections and closes them.
- Soak: callers kept their connections, and the proxy its far side, when the run ended (44 streams in test_soak).

The filter of warnings is unchanged.

--- a/damaskramp/http/client.py
+++ b/damaskramp/http/client.py
@@ -120,6 +120,7 @@
         self._host = host
         self._port = port
         self._idle: deque[_Connection] = deque()
+        self._is_closed = False
         self._idle_connections = idle_connections
         self._whole_bytes = whole_bytes
 
@@ -179,7 +180,8 @@
         return True
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections now, and each other one after its answer."""
+        self._is_closed = True
         while self._idle:
             self._idle.pop().close()
 
@@ -265,7 +267,8 @@
     def _release(self, connection: _Connection) -> None:
         state = connection.h11
         done = state.our_state is h11.DONE and state.their_state is h11.DONE
-        if not done or len(self._idle) >= self._idle_connections:
+        has_room = len(self._idle) < self._idle_connections
+        if self._is_closed or not done or not has_room:
             connection.close()
             return
         state.start_next_cycle()
--- a/damaskramp/http/tests/test_client.py
+++ b/damaskramp/http/tests/test_client.py
@@ -4,7 +4,7 @@
 import contextlib
 
 from damaskramp.http import HttpClient, HttpRequest
-from damaskramp.testing import LoopTestCase
+from damaskramp.testing import LoopTestCase, StreamServer
 
 HOST = "127.0.0.1"
 TIMEOUT_SECONDS = 5.0
@@ -25,19 +25,18 @@
         writers = []
 
         async def serve(reader, writer):
-            with contextlib.closing(writer):
-                while True:
-                    await reader.readuntil(b"\r\n\r\n")
-                    writers.append(writer)
-                    if len(writers) == 1:
-                        await refuse(writer)
-                    else:
-                        writer.write(answer(b"200 OK", b"own"))
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writers.append(writer)
+                if len(writers) == 1:
+                    await refuse(writer)
+                else:
+                    writer.write(answer(b"200 OK", b"own"))
 
         async def run():
-            server = await asyncio.start_server(serve, HOST, 0)
-            port = server.sockets[0].getsockname()[1]
-            with contextlib.closing(HttpClient(HOST, port)) as client:
+            server = StreamServer(serve)
+            await server.start(HOST)
+            with contextlib.closing(HttpClient(HOST, server.port)) as client:
                 got = []
                 for _ in range(2):
                     result = await client.request(
@@ -45,7 +44,7 @@
                     )
                     got.append((result.ok.status, result.ok.body))
                     await asyncio.sleep(0.1)
-            server.close()
+            server.stop()
             return got, len({id(writer) for writer in writers})
 
         return self.run_loop(run())
@@ -73,3 +72,35 @@
 
         got, connections = self.exchange(refuse)
         self.assertEqual(([(503, b"full"), (200, b"own")], 1), (got, connections))
+
+
+LARGE = b"x" * 4096
+
+
+class TestClosedClient(LoopTestCase):
+    def test_connection_whose_answer_ends_after_the_close_is_closed(self):
+        """It would be kept for reuse, and nobody would close it any more."""
+
+        async def run():
+            ended = asyncio.Event()
+
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer(b"200 OK", LARGE))
+                await reader.read()
+                ended.set()
+
+            server = StreamServer(serve)
+            await server.start(HOST)
+            client = HttpClient(HOST, server.port, whole_bytes=16)
+            result = await client.request(HttpRequest("GET", "/"), TIMEOUT_SECONDS)
+            client.close()
+            rest = [chunk async for chunk in result.ok.tail]
+            try:
+                async with asyncio.timeout(TIMEOUT_SECONDS):
+                    await ended.wait()
+            finally:
+                server.stop()
+            return result.ok.body + b"".join(rest)
+
+        self.assertEqual(LARGE, self.run_loop(run()))
--- a/damaskramp/relay/tests/test_health_check.py
+++ b/damaskramp/relay/tests/test_health_check.py
@@ -12,7 +12,7 @@
     HealthCheckError,
     ServerUnreachableError,
 )
-from damaskramp.testing import LoopTestCase
+from damaskramp.testing import LoopTestCase, StreamServer
 
 ID_FIELD = PLATFORM_HEADERS.server_id
 WARMUP_FIELD = PLATFORM_HEADERS.warmup_ms
@@ -38,17 +38,15 @@
             except ConnectionError:
                 # The check has read enough.
                 return
-            finally:
-                writer.close()
 
         async def run():
-            server = await asyncio.start_server(serve, "127.0.0.1", 0)
-            host, port = server.sockets[0].getsockname()
+            server = StreamServer(serve)
+            await server.start("127.0.0.1")
             try:
-                checks = HealthCheck(f"{host}:{port}", PLATFORM_HEADERS)
+                checks = HealthCheck(f"127.0.0.1:{server.port}", PLATFORM_HEADERS)
                 return await checks.run(path), seen[0]
             finally:
-                server.close()
+                server.stop()
 
         return self.run_loop(run())
 
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -25,7 +25,7 @@
 from damaskramp.platform import PLATFORM_HEADERS, READINESS_PATH, MetadataStore
 from damaskramp.relay.node import RelayNode
 from damaskramp.relay.settings import RelaySettings
-from damaskramp.testing import LoopTestCase
+from damaskramp.testing import LoopTestCase, StreamServer
 
 JSON = ((b"content-type", b"application/json"),)
 WAIT_TIMEOUT_SECONDS = 20.0
@@ -174,15 +174,14 @@
         self.connections = 0
         self.dropped = 0
         self._script = script or ok
-        self._server = None
+        self._server = StreamServer(self._serve)
 
     async def start(self, address):
         host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        await self._server.start(host, int(port))
 
     async def stop(self):
-        if self._server is not None:
-            self._server.close()
+        self._server.stop()
 
     async def _serve(self, reader, writer):
         self.connections += 1
@@ -207,8 +206,6 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             # The caller has disconnected, or the test has ended.
             return
-        finally:
-            writer.close()
 
     async def _run_until_disconnect(self, reader, answer):
         work = asyncio.ensure_future(answer)
--- a/tests/slow_link.py
+++ b/tests/slow_link.py
@@ -5,6 +5,8 @@
 import socket
 import time
 
+from damaskramp.testing import StreamServer
+
 BUFFER_BYTES = 32 * 1024
 """Socket buffers of the stand-in; large ones would hide the limit of the rate."""
 
@@ -31,7 +33,7 @@
         self.rate = rate
         self.frozen = False
         self.passed_up = self.passed_down = 0
-        self._server = None
+        self._server = StreamServer(self._serve, limit=PIECE_BYTES)
         self._writers = []
         self._target = None
 
@@ -42,13 +44,11 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
         sock.bind((host, port))
-        self._server = await asyncio.start_server(
-            self._serve, sock=sock, limit=PIECE_BYTES
-        )
+        await self._server.start(sock=sock)
 
     async def stop(self):
-        self._server.close()
         self.cut()
+        self._server.stop()
 
     def cut(self):
         """Reset all connections."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -38,13 +38,16 @@
 
     async def run(self):
         """Send requests until cancelled."""
-        while True:
-            await asyncio.sleep(self._random.uniform(*THINK_SECONDS))
-            try:
-                await self._request()
-            except (OSError, asyncio.IncompleteReadError, TimeoutError):
-                self._disconnect()
-                await asyncio.sleep(RECONNECT_SECONDS)
+        try:
+            while True:
+                await asyncio.sleep(self._random.uniform(*THINK_SECONDS))
+                try:
+                    await self._request()
+                except (OSError, asyncio.IncompleteReadError, TimeoutError):
+                    self._disconnect()
+                    await asyncio.sleep(RECONNECT_SECONDS)
+        finally:
+            self._disconnect()
 
     def _disconnect(self):
         if self._writer is not None:
@@ -54,8 +57,10 @@
     async def request_once(self, request_id):
         """Send one request with an unlimited key of the newest configuration."""
         self._path, self._keys = PATHS[0], ("clubs", self._fleet.keys_of("clubs")[0])
-        await self._request(request_id)
-        self._disconnect()
+        try:
+            await self._request(request_id)
+        finally:
+            self._disconnect()
 
     async def _request(self, request_id=""):
         if self._writer is None:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,6 +6,8 @@
 import struct
 from enum import Enum
 
+from damaskramp.testing import StreamServer
+
 __all__ = ["LinkMode", "Proxy", "reset_connection"]
 
 CHUNK_BYTES = 64 * 1024
@@ -55,19 +57,16 @@
         self._find_cut = None
         self._cut_ports = set()
         self._writers = {}
-        self._server = None
+        self._server = StreamServer(self._serve, limit=CHUNK_BYTES)
 
     async def start(self):
         """Listen for connections."""
-        self._server = await asyncio.start_server(
-            self._serve, *self._listen, limit=CHUNK_BYTES, backlog=1024
-        )
+        await self._server.start(*self._listen, backlog=1024)
 
     def stop(self):
         """Close the listener and all connections."""
-        if self._server is not None:
-            self._server.close()
         self.reset()
+        self._server.stop()
 
     def set_mode(self, mode, delay=0.0):
         """Change the state of present and future connections.
@@ -124,15 +123,19 @@
             reset_connection(writer)
             return
         self._writers[far_writer] = port
-        # The run ends while connections are open.
-        with contextlib.suppress(asyncio.CancelledError):
+        try:
             await asyncio.gather(
                 self._pump(reader, far_writer, port, LinkMode.SILENT_TO_TARGET),
                 self._pump(far_reader, writer, port, LinkMode.SILENT_FROM_TARGET),
             )
-        for one in (writer, far_writer):
-            self._writers.pop(one, None)
-        self._cut_ports.discard(port)
+        except asyncio.CancelledError:
+            # The run ends while connections are open.
+            return
+        finally:
+            for one in (writer, far_writer):
+                self._writers.pop(one, None)
+                one.close()
+            self._cut_ports.discard(port)
 
     async def _pump(self, reader, writer, port, blocked):
         """Pass bytes on in one direction until it ends."""
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -5,6 +5,7 @@
 import re
 import time
 
+from damaskramp.testing import StreamServer
 from tests.relay_fleet import field
 from tests.soak.proxy import reset_connection
 from tests.soak.record import Arrival, Sent, Told, digest_of, read_answer
@@ -44,7 +45,6 @@
         self._fleet = fleet
         self._host = host
         self._random = random.Random(f"{fleet.seed}/{host.number}")
-        self._writers = set()
         self._server = None
         self._calls = 0
         self._starts = 0
@@ -78,19 +78,19 @@
             self.cold_until = time.monotonic() + self._fleet.warmup_seconds
             self._fleet.record.add_notice("cold", self.number)
         address = (self._host.ip, self._fleet.backend_port)
-        self._server = await asyncio.start_server(
-            self._serve, *address, limit=1 << 20, backlog=1024
-        )
+        server = StreamServer(self._serve, limit=1 << 20)
+        await server.start(*address, backlog=1024)
+        self._server = server
 
     def crash(self):
         """End at once: every connection is reset."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        server, self._server = self._server, None
         for what in list(self._notices):
             self.end_notice(what)
-        for writer in list(self._writers):
-            reset_connection(writer)
+        if server is not None:
+            for writer in list(server.writers):
+                reset_connection(writer)
+            server.stop()
 
     def open_notice(self, what):
         """Record that something holds until the server starts again."""
@@ -104,7 +104,6 @@
             notice.until = self._fleet.record.now
 
     async def _serve(self, reader, writer):
-        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -115,9 +114,6 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             # The node has disconnected, or the run has ended.
             return
-        finally:
-            self._writers.discard(writer)
-            writer.close()
 
     async def _handle(self, head, body, writer):
         target = head.split(b"\r\n", 1)[0].decode("latin-1").split(" ")[1]
--- a/tests/test_golden_sessions.py
+++ b/tests/test_golden_sessions.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from damaskramp.testing import StreamServer
 from examples.fleet import HostSpec
 from tests.fleets import KEY, FleetTestCase
 
@@ -154,8 +155,6 @@
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
-        finally:
-            writer.close()
 
 
 async def _read_request(reader: asyncio.StreamReader) -> bytes:
@@ -183,13 +182,14 @@
     async def _run_session(self, session: Session) -> str:
         backend = _Backend(session.answers)
         host, _, port = self.fleet.backend("board-1").rpartition(":")
-        server = await asyncio.start_server(backend.serve, host, int(port))
+        server = StreamServer(backend.serve)
+        await server.start(host, int(port))
         caller_host, _, caller_port = self.fleet.http("board-1").rpartition(":")
         reader, writer = await asyncio.open_connection(caller_host, int(caller_port))
         writer.write(session.sent)
         got = await asyncio.wait_for(reader.read(-1), ANSWER_TIMEOUT_SECONDS)
         writer.close()
-        server.close()
+        server.stop()
         parts = ["caller sends\n" + _format_bytes(session.sent)]
         for seen in backend.seen:
             parts.append("backend server sees\n" + _format_bytes(seen))
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -4,9 +4,7 @@
 complete.
 """
 
-import asyncio
-import contextlib
-
+from damaskramp.testing import StreamServer
 from examples.fleet import HostSpec
 from tests.fleets import FleetTestCase, send
 
@@ -22,20 +20,20 @@
 
     async def _fetch(self, entry: str, sent_bytes: int) -> bytes:
         async def serve(reader, writer):
-            with contextlib.closing(writer):
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LENGTH)
-                writer.write(b"x" * sent_bytes)
-                await writer.drain()
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LENGTH)
+            writer.write(b"x" * sent_bytes)
+            await writer.drain()
 
         host, _, port = self.fleet.backend("board-1").rpartition(":")
-        server = await asyncio.start_server(serve, host, int(port))
+        server = StreamServer(serve)
+        await server.start(host, int(port))
         try:
             answer = await send(self.fleet.http(entry), "/board/ballots", method="POST")
             rest = [chunk async for chunk in answer.tail]
             return answer.body + b"".join(rest)
         finally:
-            server.close()
+            server.stop()
 
     def test_large_answer_is_complete(self):
         for entry in ("desk-1", "board-1"):
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-import contextlib
 
+from damaskramp.testing import StreamServer
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, field, ok, route
 
 
@@ -197,20 +197,20 @@
     def test_connection_with_a_partly_sent_request_is_not_reused(self):
         async def answer_early(reader, writer):
             # Answers after the head and never reads the body.
-            with contextlib.closing(writer):
-                head = await reader.readuntil(b"\r\n\r\n")
-                writer.write(ok(head))
-                await writer.drain()
-                await asyncio.sleep(0.5)
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.write(ok(head))
+            await writer.drain()
+            await asyncio.sleep(0.5)
 
         async def scenario(fleet):
             server = fleet.servers[0]
             await server.stop()
             host, _, port = fleet.address(0).rpartition(":")
-            early = await asyncio.start_server(answer_early, host, int(port))
+            early = StreamServer(answer_early)
+            await early.start(host, int(port))
             got = await fleet.ask("/a", method="POST", body=b"x" * 20_000_000)
             idle = len(fleet.nodes[0]._executor._connections._idle)
-            early.close()
+            early.stop()
             return got[0], idle
 
         config = configuration(1, [route("svc", "/")], CLUBS)
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -10,6 +10,7 @@
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.peer_link import LinkState, PeerLink
 from damaskramp.relay.peer_links import PROBES_PER_CHECK
+from damaskramp.testing import StreamServer
 from tests.relay_fleet import CLUBS, RelayTestCase, configuration, ok, route
 
 
@@ -239,10 +240,14 @@
         async def scenario(fleet):
             peers = fleet.nodes[0]._peers
             accepted = []
-            server = await asyncio.start_server(
-                lambda reader, writer: accepted.append(writer), fleet.host(2), 0
-            )
-            port = server.sockets[0].getsockname()[1]
+
+            async def never_answer(reader, writer):
+                accepted.append(writer)
+                await asyncio.sleep(3600)
+
+            server = StreamServer(never_answer)
+            await server.start(fleet.host(2))
+            port = server.port
             host, known = fleet.host(2), peers.links._port
             peers.links._port = port
             peers.hosts.unreachable.add(host)
@@ -250,7 +255,7 @@
             await fleet.until(lambda: accepted)
             peers.links._port = known
             await asyncio.sleep(0.3)
-            server.close()
+            server.stop()
             return host in peers.hosts.unreachable
 
         self.assertTrue(self.run_scenario(scenario, ("svc", "far")))
--- a/tests/test_relay_kept_connections.py
+++ b/tests/test_relay_kept_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from damaskramp.testing import StreamServer
 from tests.relay_fleet import RelayTestCase, field, ok, read_answer, request_bytes
 
 
@@ -37,7 +38,8 @@
 
             await fleet.servers[0].stop()
             host, _, port = fleet.address(0).rpartition(":")
-            server = await asyncio.start_server(serve, host, int(port))
+            server = StreamServer(serve)
+            await server.start(host, int(port))
             writer.write(request(1))
             await arrived.wait()
             writer.write(request(2))
@@ -45,7 +47,7 @@
             await fleet.until(lambda: connection._pipelined)
             released.set()
             answers = [(await read_answer(reader))[1] for _ in range(3)]
-            server.close()
+            server.stop()
             return [field(head, "x-request-id") for head in answers]
 
         self.assertEqual(["q1", "q2", "q3"], self.run_scenario(scenario))
--- a/tests/test_relay_uploads.py
+++ b/tests/test_relay_uploads.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import gc
 
 from damaskramp.relay.backend_connection import _Opening
@@ -13,6 +12,7 @@
 from damaskramp.relay.messages import Call
 from damaskramp.relay.server_attempt import ServerAttempt
 from damaskramp.relay.server_run import Run, RunWork
+from damaskramp.testing import StreamServer
 from tests.relay_fleet import (
     CLUBS,
     RelayTestCase,
@@ -169,20 +169,20 @@
         """The server still expects the rest of the body on that connection."""
 
         async def early(reader, writer):
-            with contextlib.closing(writer):
-                request = await reader.readuntil(b"\r\n\r\n")
-                writer.write(ok(request, b"early", status=b"400 Bad"))
-                await asyncio.sleep(0.2)
+            request = await reader.readuntil(b"\r\n\r\n")
+            writer.write(ok(request, b"early", status=b"400 Bad"))
+            await asyncio.sleep(0.2)
 
         async def scenario(fleet):
             await fleet.servers[0].stop()
             host, _, port = fleet.address(0).rpartition(":")
-            server = await asyncio.start_server(early, host, int(port))
+            server = StreamServer(early)
+            await server.start(host, int(port))
             answers = [
                 await fleet.ask("/a", method="POST", body=b"x" * 4 * MIB)
                 for _ in range(2)
             ]
-            server.close()
+            server.stop()
             return [(answer[0], answer[2]) for answer in answers]
 
         got = self.run_scenario(scenario, config=UPLOADS)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 
 from testtools import TestCase
 
+from damaskramp.testing import StreamServer
 from tests.relay_fleet import NETWORK, WORKER
 from tests.soak.checker import Bounds
 from tests.soak.checks import PROMISES, check
@@ -229,7 +230,6 @@
         async def echo(reader, writer):
             while data := await reader.read(100):
                 writer.write(data)
-            writer.close()
 
         async def answers(connection):
             reader, writer = connection
@@ -240,7 +240,8 @@
                 return False
 
         async def scenario():
-            target = await asyncio.start_server(echo, address, 8297)
+            target = StreamServer(echo)
+            await target.start(address, 8297)
             proxy = Proxy((address, 8298), (address, 8297))
             await proxy.start()
             first = await asyncio.open_connection(address, 8298)
@@ -255,7 +256,7 @@
             for _, writer in (first, second):
                 writer.close()
             proxy.stop()
-            target.close()
+            target.stop()
             return found
 
         self.assertEqual([True, True, False, True, True, True], asyncio.run(scenario()))
