Planned stop: requests that wait are refused unrun, not cut

Cause: the stop ended the process at a fixed time with whatever was open. A request waited at the server of another host with its caller's deadline, which is later than that end.

Change: the end of a stop is a deadline of all open requests. Each is answered by then: "not run" if that is certain, else "unknown". Nodes of other hosts are told by link when this one ends, and refuse what waits as soon as it can't end by then. A node whose server gets no more calls refuses at once those that wait for it; they were lost if no run ended in between.

--- a/benchmarks/chain_host.py
+++ b/benchmarks/chain_host.py
@@ -67,7 +67,8 @@
 
         def deliver():
             if not state["cancelled"]:
-                state["cancel"] = fleet.by_address[host].executor.submit(call, link)
+                run = fleet.by_address[host].executor.submit(call, link)
+                state["cancel"] = run.cancel
 
         def cancel():
             state["cancelled"] = True
--- a/damaskramp/dispatch/attempts.py
+++ b/damaskramp/dispatch/attempts.py
@@ -237,6 +237,10 @@
             self._service, self.rank, now
         )
 
+    def limit_deadline(self, deadline: float) -> None:
+        """Send the request nowhere once a time has come, in clock seconds."""
+        self._deadline = min(self._deadline, deadline)
+
     def record_abandoned(self, server: ServerId) -> None:
         """Record that a server may run the request and nobody waits for its answer."""
         self._may_have_run = True
--- a/damaskramp/relay/caller_connection.py
+++ b/damaskramp/relay/caller_connection.py
@@ -273,6 +273,12 @@
             self._context.counters.add("caller_closed", reason="idle")
             self._transport.close()
 
+    def announce_end(self, end_at: float) -> None:
+        """Tell the current request when the node ends."""
+        request = self._current
+        if request is not None and request.on_stop is not None:
+            request.on_stop(end_at)
+
     def close_if_idle(self) -> None:
         """Close the connection if it has no request in progress."""
         idle = self._current is None and self._reader.request is None
--- a/damaskramp/relay/caller_listener.py
+++ b/damaskramp/relay/caller_listener.py
@@ -62,6 +62,17 @@
         """Close each connection after its next answer."""
         self.context.closing = True
 
+    def announce_end(self, end_at: float) -> None:
+        """Have all open requests answered before the node ends.
+
+        Parameters
+        ----------
+        end_at : float
+            Clock time in seconds.
+        """
+        for connection in list(self.connections):
+            connection.announce_end(end_at)
+
     def sweep(self) -> None:
         """Close connections that have been idle, slow or stalled for too long."""
         now = self.context.clock()
--- a/damaskramp/relay/caller_request.py
+++ b/damaskramp/relay/caller_request.py
@@ -81,6 +81,9 @@
         Clock time at which the request began to arrive, in seconds.
     on_disconnect : callable or None
         Called if the caller disconnects before the answer.
+    on_stop : callable or None
+        Called with the clock time at which the node ends if it begins to stop before
+        the answer.
     """
 
     __slots__ = (
@@ -100,6 +103,7 @@
         "length",
         "method",
         "on_disconnect",
+        "on_stop",
         "path",
         "request_id",
         "reserved_bytes",
@@ -131,6 +135,7 @@
         self.head_bytes = 0
         self.started = 0.0
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_stop: Callable[[float], None] | None = None
 
     def parse_target(self) -> bool:
         """Set the path, and the host of an absolute target; return False if invalid."""
--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -29,7 +29,7 @@
 from damaskramp.relay.fleet_view import FleetView
 from damaskramp.relay.headers import HeaderNames, ReservedNames
 from damaskramp.relay.messages import Call
-from damaskramp.relay.outcome_sink import Cancel, OutcomeSink
+from damaskramp.relay.outcome_sink import OutcomeSink
 from damaskramp.relay.server_answer import ServerAnswer
 from damaskramp.relay.server_deaths import ServerDeaths
 from damaskramp.relay.server_notices import ServerNotices
@@ -189,8 +189,18 @@
         """Update the call depth that is reported with the load."""
         self.queue.depth = self.depths.own_depth(self.clock())
 
-    def submit(self, call: Call, reply: OutcomeSink) -> Cancel:
-        """Run, queue or refuse a call; return a function that cancels it."""
+    def leave(self) -> None:
+        """Refuse new calls, and those that wait: other servers have time for them."""
+        self.leaving = True
+        now = self.clock()
+        for run in list(self._runs):
+            # The end of one may already have ended others.
+            if run.work.state == "waiting":
+                self.queue.cancel(run.work, now)
+                run.refuse(Reason.BACKEND_SERVER_LEAVING, 0.0, False)
+
+    def submit(self, call: Call, reply: OutcomeSink) -> Run:
+        """Run, queue or refuse a call; return its run, which may have ended."""
         now = self.clock()
         self.notices.update_server()
         self.warmup.update(now)
@@ -200,16 +210,16 @@
         refusal_reason = self.checks.find_refusal_reason(call, now)
         if refusal_reason is not None:
             run.refuse(refusal_reason, 0.0, False)
-            return run.cancel
+            return run
         if self.chain_control and not self._admits_chain(run, now):
             wait = CHAIN_RETRY_SECONDS
             run.refuse(Reason.CHAIN_STRESSED, wait, False)
-            return run.cancel
+            return run
         self.queue.resize(self.fleet_view.own_slots)
         if not self._memory.reserve_alone(len(call.body)):
             self.counters.add("bodies_refused")
             run.refuse(Reason.OVERLOADED, self.queue.load.service_time, False)
-            return run.cancel
+            return run
         decision = self.queue.offer(run.work, now)
         if decision is QueueDecision.REFUSE:
             self._memory.release(len(call.body))
@@ -217,14 +227,14 @@
             if not call.fail_fast:
                 self.chains.record_own(True, now)
             run.refuse(Reason.OVERLOADED, wait, False)
-            return run.cancel
+            return run
         self._runs.add(run)
         if decision is QueueDecision.RUN:
             run.start(now, is_checked=True)
         elif self.queue.rate.limit is not None:
             # Requests that matter less may wait for tokens that this one may use.
             self.start_next()
-        return run.cancel
+        return run
 
     def refuse_early(self, call: Call, reply: OutcomeSink) -> bool:
         """Refuse a call whose body has not arrived, if it can't run here."""
--- a/damaskramp/relay/forwarded_request.py
+++ b/damaskramp/relay/forwarded_request.py
@@ -58,7 +58,10 @@
             self._refuse(Reason.STOPPING, wait)
             return
         request.on_disconnect = self._caller_disconnected
+        request.on_stop = self._limit_deadline
         self._start_timer()
+        if forwarder.stops_at is not None:
+            self._limit_deadline(forwarder.stops_at)
         if self._holder is not None:
             team = self._holder.team
             forwarder.permits.admit(team, self._on_admission)
--- a/damaskramp/relay/forwarding_state.py
+++ b/damaskramp/relay/forwarding_state.py
@@ -22,7 +22,7 @@
 from damaskramp.relay.peers import Peers
 from damaskramp.relay.permits import Permits
 
-__all__ = ["ForwardingState"]
+__all__ = ["MIN_STOP_RETRY_SECONDS", "ForwardingState"]
 
 
 MIN_STOP_RETRY_SECONDS = 0.1
@@ -31,7 +31,14 @@
 
 
 class ForwardingState:
-    """State that all requests of callers share."""
+    """State that all requests of callers share.
+
+    Attributes
+    ----------
+    stops_at : float or None
+        Clock time in seconds at which open requests get their final answers because
+        the node stops; None while it does not.
+    """
 
     def __init__(
         self,
@@ -69,7 +76,7 @@
         self.chain_control = False
         self.call_outcomes = CallOutcomes()
         self.refused_callers = RefusedCallers()
-        self._stops_at: float | None = None
+        self.stops_at: float | None = None
 
     def use_chain_control(self) -> None:
         """Treat calls by what is known of the roots of their chains."""
@@ -81,9 +88,9 @@
         Parameters
         ----------
         stops_at : float
-            Clock time in seconds at which requests without an answer are cut.
+            Clock time in seconds at which open requests get their final answers.
         """
-        self._stops_at = stops_at
+        self.stops_at = stops_at
 
     def wait_for_stop(self, route: str, deadline: float, is_call: bool) -> float | None:
         """Seconds until the node stops, if a new request may outlast it; else None.
@@ -96,9 +103,9 @@
         deadline : float
             Clock time in seconds after which nobody waits for the answer.
         """
-        if self._stops_at is None or deadline <= self._stops_at:
+        if self.stops_at is None or deadline <= self.stops_at:
             return None
-        remaining = self._stops_at - self.clock()
+        remaining = self.stops_at - self.clock()
         if is_call and not self.route_times.is_tight(route, remaining):
             return None
         return max(remaining, MIN_STOP_RETRY_SECONDS)
--- a/damaskramp/relay/incoming_link.py
+++ b/damaskramp/relay/incoming_link.py
@@ -11,7 +11,8 @@
 from damaskramp.relay.incoming_upload import IncomingUpload, UploadBody
 from damaskramp.relay.message_stream import MessageStream
 from damaskramp.relay.messages import REASON_CODES, Call, Kind
-from damaskramp.relay.outcome_sink import Cancel, OutcomeSink
+from damaskramp.relay.outcome_sink import OutcomeSink
+from damaskramp.relay.server_run import Run
 
 if TYPE_CHECKING:
     from damaskramp.relay.link_service import LinkService
@@ -42,7 +43,8 @@
     def __init__(self, service: "LinkService") -> None:
         super().__init__(service.partial_memory)
         self._service = service
-        self._cancels: dict[int, Cancel] = {}
+        self._runs: dict[int, Run] = {}
+        self._calls_end_at = float("inf")
         self._received_calls: dict[int, Call | IncomingUpload] = {}
         self._uploads: dict[int, IncomingUpload] = {}
         self._receiver = BodyReceiver(self)
@@ -95,9 +97,9 @@
         self.drop_input()
         self._service.links.discard(self)
         self._drop_unsubmitted()
-        for cancel in list(self._cancels.values()):
-            cancel()
-        self._cancels.clear()
+        for run in list(self._runs.values()):
+            run.cancel()
+        self._runs.clear()
         if self._sender.unfinished:
             self._report_broken("link ended", self._sender.unfinished)
         self._sender.close()
@@ -135,6 +137,8 @@
             )
         elif kind == Kind.GIVE_BACK:
             self._service.receive_returned(message[1], message[2])
+        elif kind == Kind.END_CALLS:
+            self._limit_deadlines(message[1])
 
     def _add_call(self, number: int, call: Call | IncomingUpload) -> None:
         # A delayed link may deliver a call together with its cancellation.
@@ -169,9 +173,15 @@
             call.body.close()
         if call is not None or self._sender.cancel(number):
             return
-        cancel = self._cancels.pop(number, None)
-        if cancel is not None:
-            cancel()
+        run = self._runs.pop(number, None)
+        if run is not None:
+            run.cancel()
+
+    def _limit_deadlines(self, seconds: float) -> None:
+        """Refuse in time what still waits here when the other node ends."""
+        self._calls_end_at = self._service.clock() + seconds
+        for run in self._runs.values():
+            run.limit_deadline(self._calls_end_at)
 
     def _submit_calls(self) -> None:
         """Submit the calls of one read that were not cancelled in the same read."""
@@ -181,9 +191,10 @@
                 # The executor reserves the memory that the upload releases here.
                 call = call.complete(self._service.clock())
             reply = _RemoteReply(self, number)
-            cancel = self._service.executor.submit(call, reply)
+            run = self._service.executor.submit(call, reply)
             if not reply.done:
-                self._cancels[number] = cancel
+                run.limit_deadline(self._calls_end_at)
+                self._runs[number] = run
 
     def check_bodies(self, now: float) -> None:
         """Drop uploads that nobody waits for, and answers that are not taken."""
@@ -215,7 +226,7 @@
 
     def finish(self, number: int, message: tuple) -> None:
         """Send the outcome of a call, and forget how to cancel it."""
-        self._cancels.pop(number, None)
+        self._runs.pop(number, None)
         if self._transport is not None:
             self.send(message)
             self.mark_position()
--- a/damaskramp/relay/messages.py
+++ b/damaskramp/relay/messages.py
@@ -72,6 +72,7 @@
     LARGE_ANSWER = 13
     FRAGMENT = 14
     GRANT = 15
+    END_CALLS = 16
 
 
 REASONS = tuple(Reason)
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -86,6 +86,7 @@
         self._answers = IncomingAnswers(self, memory, counters, self._forget_call)
         self._health = LinkHealth(SILENCE_TIMEOUT_SECONDS, clock())
         self._opened_at = clock()
+        self._calls_end_at: float | None = None
         self._task: asyncio.Task | None = None
         self._state = LinkState.CONNECTING
         self.last_used_at = clock()
@@ -141,6 +142,8 @@
         unsent, self._unsent = self._unsent, {}
         for message in unsent.values():
             self.send(message)
+        if self._calls_end_at is not None:
+            self._send_end()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report the loss to all open calls and loans."""
@@ -168,6 +171,21 @@
             self.send(message)
         return lambda: self._cancel(number)
 
+    def end_calls(self, end_at: float) -> None:
+        """Tell the other node when this one ends, whose calls must not wait longer.
+
+        Parameters
+        ----------
+        end_at : float
+            Clock time in seconds.
+        """
+        self._calls_end_at = end_at
+        if self._state is LinkState.UP:
+            self._send_end()
+
+    def _send_end(self) -> None:
+        self.send((Kind.END_CALLS, self._calls_end_at - self._clock()))
+
     def send_fragment(self, number: int, data: bytes | memoryview) -> None:
         """Send a part of a body; its bytes are then awaited on the other host."""
         super().send_fragment(number, data)
--- a/damaskramp/relay/peers.py
+++ b/damaskramp/relay/peers.py
@@ -145,6 +145,17 @@
         for link in self.links.up:
             self._ping(link)
 
+    def announce_end(self, end_at: float) -> None:
+        """Tell all linked peers when this node ends, so that no call waits longer.
+
+        Parameters
+        ----------
+        end_at : float
+            Clock time in seconds.
+        """
+        for link in self.links.by_host.values():
+            link.end_calls(end_at)
+
     def broadcast_changes(self, changes: SourceChanges) -> None:
         """Send changes at once to peers of the own zone; the others ask for them."""
         update = self.exchange.update_message(changes)
--- a/damaskramp/relay/request_answer.py
+++ b/damaskramp/relay/request_answer.py
@@ -6,7 +6,10 @@
 from damaskramp.dispatch import ordered_retry_after
 from damaskramp.relay.body_source import BodySource, discard_body
 from damaskramp.relay.caller_request import CallerRequest
-from damaskramp.relay.forwarding_state import ForwardingState
+from damaskramp.relay.forwarding_state import (
+    MIN_STOP_RETRY_SECONDS,
+    ForwardingState,
+)
 from damaskramp.relay.request_record import RequestRecord
 from damaskramp.relay.server_attempt import ServerAttempt
 
@@ -23,6 +26,7 @@
     __slots__ = (
         "_chain_service",
         "_fallback_answer",
+        "_is_cut_short",
         "_loop_timer",
         "_open_attempts",
         "_permit_taken_at",
@@ -34,6 +38,7 @@
         self._open_attempts: list[ServerAttempt] = []
         self._fallback_answer: tuple[int, bytes, bytes | BodySource] | None = None
         self._loop_timer: asyncio.TimerHandle | None = None
+        self._is_cut_short = False
         self._permit_taken_at: float | None = None
 
     def _start_timer(self) -> None:
@@ -76,9 +81,30 @@
                 self._entry.route.name, lost, denied, forwarder.clock()
             )
 
+    def _limit_deadline(self, deadline: float) -> None:
+        """End the request by the time at which the node stops.
+
+        Parameters
+        ----------
+        deadline : float
+            Clock time in seconds.
+        """
+        if deadline >= self._deadline:
+            return
+        self._is_cut_short = True
+        self._deadline = deadline
+        self._attempts.limit_deadline(deadline)
+        if self._loop_timer is not None:
+            self._loop_timer.cancel()
+            self._start_timer()
+
     def _timed_out(self) -> None:
         self._cancel_attempts()
-        self._refuse(Reason.DEADLINE_EXCEEDED, 0.0)
+        if self._is_cut_short:
+            self._forwarder.counters.add("requests_ended_by_stop")
+            self._refuse(Reason.STOPPING, MIN_STOP_RETRY_SECONDS)
+        else:
+            self._refuse(Reason.DEADLINE_EXCEEDED, 0.0)
 
     def _caller_disconnected(self) -> None:
         self._forwarder.counters.add("callers_gone")
@@ -145,7 +171,7 @@
 
     def _end(self) -> None:
         self._drop_fallback()
-        self._request.on_disconnect = None
+        self._request.on_disconnect = self._request.on_stop = None
         if self._loop_timer is not None:
             self._loop_timer.cancel()
             self._loop_timer = None
--- a/damaskramp/relay/request_attempts.py
+++ b/damaskramp/relay/request_attempts.py
@@ -95,7 +95,7 @@
         attempt = ServerAttempt(self, server, fail_fast)
         self._open_attempts.append(attempt)
         if server.host == forwarder.fleet_view.host:
-            cancel = forwarder.executor.submit(call, attempt)
+            cancel = forwarder.executor.submit(call, attempt).cancel
         else:
             cancel = forwarder.peers.call(server.host, call, attempt)
         # The outcome may have arrived before the call above returned, and may have
--- a/damaskramp/relay/server_run.py
+++ b/damaskramp/relay/server_run.py
@@ -103,6 +103,17 @@
         executor.start_next()
         return unsent
 
+    def limit_deadline(self, deadline: float) -> None:
+        """Shorten the time of a call that still waits; one that runs keeps its own.
+
+        Parameters
+        ----------
+        deadline : float
+            Clock time in seconds after which nobody waits for the answer.
+        """
+        if self._abandon is None:
+            self.work.deadline = min(self.work.deadline, deadline)
+
     def drop_references(self) -> None:
         """Break reference cycles, so that bodies need no garbage collection."""
         self._abandon = None
--- a/damaskramp/relay/shutdown.py
+++ b/damaskramp/relay/shutdown.py
@@ -2,7 +2,8 @@
 
 Other nodes and load balancers learn of the stop first, then callers are asked to
 connect elsewhere, and only then are connections closed. What runs by then has the rest
-of the grace time.
+of the grace time. A request that still waits then, here or at the server of another
+host, is refused as not run, and one that runs is told that its outcome is unknown.
 """
 
 from collections.abc import Callable
@@ -38,7 +39,11 @@
 """Time, in seconds, between closing the listener and closing idle connections."""
 
 STOP_MARGIN_SECONDS = 0.5
-"""Margin at the end of the grace time, in seconds."""
+"""Margin at the end of the grace time, in seconds, before which all requests are
+answered."""
+
+FINAL_WRITE_SECONDS = 0.2
+"""Part of the margin, in seconds, in which the last answers are written."""
 
 OPEN_WORK_CHECK_SECONDS = 0.02
 """Interval, in seconds, between checks for requests that are still open."""
@@ -85,7 +90,7 @@
         # The backend server still runs; the fleet loses its slots as soon as it gets no
         # calls.
         await self._timers.sleep(min(ACCEPT_CALLS_SECONDS, ACCEPT_CALLS_SHARE * grace))
-        self._executor.leaving = True
+        self._executor.leave()
         self._peers.announce_leaving()
         self._listener.announce_close()
         accept_until = started_at + min(
@@ -94,11 +99,14 @@
         start_until = min(started_at + START_REQUESTS_SECONDS, accept_until)
         await self._timers.sleep(start_until - self._timers.now)
         self._forwarder.announce_stop(stop_by)
+        self._listener.announce_end(stop_by)
+        self._peers.announce_end(stop_by)
         await self._timers.sleep(accept_until - self._timers.now)
         self._stop_listening()
         # Requests that arrived on open connections are read before these are closed.
         await self._timers.sleep(FINAL_READ_SECONDS)
         self._listener.close_idle()
-        while self._timers.now < stop_by and self.open_work:
+        end_by = stop_by + FINAL_WRITE_SECONDS
+        while self._timers.now < end_by and self.open_work:
             await self._timers.sleep(OPEN_WORK_CHECK_SECONDS)
         return self.open_work
--- a/tests/test_relay_stops.py
+++ b/tests/test_relay_stops.py
@@ -6,8 +6,24 @@
 
 import asyncio
 import dataclasses
+import json
 
-from tests.relay_fleet import RelayTestCase, field, ok, read_answer
+from tests.relay_fleet import (
+    CLUBS,
+    RelayTestCase,
+    configuration,
+    field,
+    ok,
+    read_answer,
+    route,
+)
+
+LONG_TIMES = {"timeout": "15s", "target-latency": "15s"}
+
+
+PATIENT = configuration(
+    1, [route("svc", "/once/", kind="non_idempotent", **LONG_TIMES)], CLUBS
+)
 
 
 async def slow(request):
@@ -192,6 +208,54 @@
         got = self.run_scenario(scenario, services, scripts=[None, very_slow])
         self.assertEqual((200, [(503, True)] * 2, ["early"], True), got)
 
+    def test_request_that_waits_at_another_host_is_refused_unrun(self):
+        """Guards against connections that a stop closes while a request waits unrun.
+
+        The server runs one request until after the end of the node that stops.
+        """
+
+        async def endless(request):
+            await asyncio.sleep(3600)
+
+        async def scenario(fleet):
+            first, second = await fill_server(fleet)
+            await fleet.nodes[0].stop()
+            # The end of the process.
+            await fleet.nodes[0].abort()
+            seen = [field(one, "x-request-id") for one in fleet.servers[1].seen]
+            return await first, await second, seen
+
+        got = self.run_scenario(
+            scenario,
+            ("other", "svc"),
+            PATIENT,
+            scripts=[None, endless],
+        )
+        self.assertEqual((502, "unknown"), got[0])
+        self.assertEqual((503, "not-run"), got[1])
+        self.assertEqual(["runs"], got[2])
+
+    def test_request_that_waits_at_a_stopping_host_is_refused_unrun(self):
+        """Guards against an unknown outcome of a request that never ran.
+
+        The server beside the node that stops finishes nothing, so that no end of a run
+        makes the waiting request leave its queue.
+        """
+
+        async def endless(request):
+            await asyncio.sleep(3600)
+
+        async def scenario(fleet):
+            first, second = await fill_server(fleet)
+            await fleet.nodes[1].stop()
+            await fleet.nodes[1].abort()
+            return await first, await second
+
+        got = self.run_scenario(
+            scenario, ("other", "svc"), PATIENT, scripts=[None, endless]
+        )
+        self.assertEqual(((502, "unknown"), (503, "not-run")), got)
+
     async def ask_late(self, fleet, path):
         """Return the status, and whether the answer says when to come again."""
         reader, writer = await fleet.connect()
@@ -203,3 +267,27 @@
         status, head, body = await read_answer(reader)
         writer.close()
         return status, b"not-run" in body and field(head, "retry-after") is not None
+
+
+async def fill_server(fleet):
+    """Let one request run at server 1 and another wait there; return both tasks."""
+    node = fleet.nodes[1]
+    fleet.list_server(1, slots=1)
+    await fleet.until(lambda: node._fleet_view.own_slots == 1)
+    tasks, load = [], node._executor.queue
+    for name, is_there in (
+        ("runs", lambda: load.running == 1),
+        ("waits", lambda: load.waiting == 1),
+    ):
+        tasks.append(asyncio.ensure_future(ask_or_cut(fleet, "/once/a", name)))
+        await fleet.until(is_there)
+    return tasks
+
+
+async def ask_or_cut(fleet, path, request_id):
+    """Return the status and the outcome of a request; status 0 if it is cut."""
+    try:
+        status, _, body = await fleet.ask(path, request_id=request_id)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return 0, "cut"
+    return status, json.loads(body)["outcome"] if status >= 500 else ""
