Tests: a stand-in that stops listening keeps its connections

test_request_that_kills_servers_is_quarantined failed since: stopping the stand-in from within a request also cancelled the task that handled this request, which then left no reset for the node to see. A stand-in that stops closes its listener alone, as before; the end of a fleet ends the connections. With it the test passes (test_relay_answers, test_relay_resets, test_relay_kept_connections, test_relay_uploads).

--- a/damaskramp/testing/streams.py
+++ b/damaskramp/testing/streams.py
@@ -52,10 +52,14 @@
             self._accept, host, port if host else None, limit=self._limit, **options
         )
 
-    def stop(self) -> None:
-        """Close the listener, and reset the connections that are still open."""
+    def close(self) -> None:
+        """Close the listener; connections stay open."""
         if self._server is not None:
             self._server.close()
+
+    def stop(self) -> None:
+        """Close the listener, and reset the connections that are still open."""
+        self.close()
         for task in list(self._tasks):
             task.cancel()
         for writer in list(self.writers):
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -181,6 +181,11 @@
         await self._server.start(host, int(port))
 
     async def stop(self):
+        """Accept no connections; those that are open go on."""
+        self._server.close()
+
+    def abort(self):
+        """End all connections as well."""
         self._server.stop()
 
     async def _serve(self, reader, writer):
@@ -376,7 +381,7 @@
         for node in self.nodes:
             await node.abort()
         for server in self.servers:
-            await server.stop()
+            server.abort()
         await self.store.stop()
 
     async def until(self, condition):
