Answers with a status outside 100 to 599 are broken at once

Callers saw: an answer 000 of a backend server left its request open until the deadline, 504 instead of 502; 600 to 999 were passed on as answers.

Cause: the parsers accept any three digits, and each reader compared the status with 200 only. Below it an answer counted as informational, so that the final one was awaited; any other number was final. 101 was awaited as well, though no request asks for another protocol.

Change: such an answer breaks its attempt and closes the connection. The same was found and changed in health checks, in the HTTP client, and on links between nodes: there a status that is none was passed on, and an outcome whose fields could not be read left its call open until the deadline, because the call was forgotten before the message was checked. The platform's store was safe already: any status but 200 is an error.

--- a/damaskramp/http/__init__.py
+++ b/damaskramp/http/__init__.py
@@ -7,6 +7,7 @@
     HttpRequest,
     HttpResponse,
     IncompleteResponseError,
+    is_status,
     split_target,
 )
 from damaskramp.http.server import Handler, HttpServer, HttpServerSettings
@@ -24,5 +25,6 @@
     "TransportErrorKind",
     "close_lingering",
     "discard_on_close",
+    "is_status",
     "split_target",
 ]
--- a/damaskramp/http/client.py
+++ b/damaskramp/http/client.py
@@ -19,6 +19,7 @@
     HttpRequest,
     HttpResponse,
     IncompleteResponseError,
+    is_status,
 )
 
 __all__ = ["HttpClient", "TransportError", "TransportErrorKind"]
@@ -227,6 +228,8 @@
             head = await connection.next_event()
         if not isinstance(head, h11.Response):
             raise ConnectionResetError("connection closed before a response arrived")
+        if not is_status(head.status_code):
+            raise ConnectionAbortedError(f"answer with status {head.status_code}")
         headers = tuple((bytes(name), bytes(value)) for name, value in head.headers)
         if not _has_delimited_body(head, method):
             # The end of such a body can't be distinguished from a broken connection.
--- a/damaskramp/http/messages.py
+++ b/damaskramp/http/messages.py
@@ -9,12 +9,16 @@
     "HttpRequest",
     "HttpResponse",
     "IncompleteResponseError",
+    "is_status",
     "split_target",
 ]
 
 BODILESS_STATUSES = frozenset({204, 304})
 """Statuses of responses that never have a body."""
 
+MIN_STATUS, MAX_STATUS = 100, 599
+"""Range of statuses (RFC 9110, section 15); parsers accept any three digits."""
+
 Headers = tuple[tuple[bytes, bytes], ...]
 """Pairs of name and value of header fields; names are in lower case."""
 
@@ -76,6 +80,17 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
+def is_status(status: int) -> bool:
+    """Return whether a number is a status. An answer with any other one is broken.
+
+    Examples
+    --------
+    >>> is_status(200), is_status(0), is_status(600)
+    (True, False, False)
+    """
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
 def split_target(target: str) -> tuple[str, str]:
     """Split a request target into path and query.
 
--- a/damaskramp/http/tests/test_client.py
+++ b/damaskramp/http/tests/test_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from damaskramp.http import HttpClient, HttpRequest
+from damaskramp.http import HttpClient, HttpRequest, TransportErrorKind
 from damaskramp.testing import LoopTestCase, StreamServer
 
 HOST = "127.0.0.1"
@@ -74,6 +74,28 @@
         self.assertEqual(([(503, b"full"), (200, b"own")], 1), (got, connections))
 
 
+class TestStatuses(LoopTestCase):
+    def test_status_that_is_none_breaks_the_answer(self):
+        """Guards against answers with a status outside 100 to 599."""
+
+        async def run(status):
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer(status, b"none"))
+                await reader.read()
+
+            server = StreamServer(serve)
+            await server.start(HOST)
+            with contextlib.closing(HttpClient(HOST, server.port)) as client:
+                got = await client.request(HttpRequest("GET", "/"), TIMEOUT_SECONDS)
+            server.stop()
+            return got.is_error() and got.error.kind
+
+        for status in (b"000 Zero", b"099 Low", b"600 High", b"999 Top"):
+            kind = self.run_loop(run(status))
+            self.assertIs(TransportErrorKind.BROKEN, kind, status)
+
+
 LARGE = b"x" * 4096
 
 
--- a/damaskramp/relay/answer_reader.py
+++ b/damaskramp/relay/answer_reader.py
@@ -10,13 +10,14 @@
 import httptools
 
 from damaskramp.core import Counters
+from damaskramp.http import is_status
 from damaskramp.relay.answer_intake import AnswerIntake, append_chunk
 from damaskramp.relay.headers import ReservedNames
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.messages import FRAGMENT_BYTES
 from damaskramp.relay.server_answer import ServerAnswer
 
-__all__ = ["OTHER_BYTES", "AnswerReader"]
+__all__ = ["OTHER_BYTES", "SWITCHING_PROTOCOLS", "AnswerReader"]
 
 MAX_HEAD_BYTES = 64 * 1024
 """Most bytes outside bodies for each request: heads, including those of informational
@@ -28,6 +29,9 @@
 MAX_CHUNK_OVERHEAD = 8
 """Further bytes outside bodies for each byte of a body: chunks of one byte have 5."""
 
+SWITCHING_PROTOCOLS = 101
+"""Status after which no further answer follows; no request asks for it."""
+
 OTHER_BYTES = 4 * 1024 * 1024
 """Most bytes of bodies of skipped answers to earlier requests, for each request."""
 
@@ -60,6 +64,8 @@
         Answer to the present request, once all of it has arrived.
     intake : AnswerIntake or None
         Receiver of its body, if it is large or of unknown length.
+    has_bad_status : bool
+        Whether an answer had a status that is none, or can't be awaited further.
     has_unsolicited : bool
         Whether another answer has followed it.
     reusable : bool
@@ -96,6 +102,7 @@
         self.answer: ServerAnswer | None = None
         self.complete_answer: ServerAnswer | None = None
         self.intake: AnswerIntake | None = None
+        self.has_bad_status = False
         self.has_unsolicited = False
         self.reusable = True
 
@@ -196,8 +203,13 @@
         """Check whom the answer is for, and prepare to receive its body."""
         if self.has_unsolicited:
             return
-        answer = self.answer
-        answer.status = self.parser.get_status_code()
+        answer, status = self.answer, self.parser.get_status_code()
+        if not is_status(status) or status == SWITCHING_PROTOCOLS:
+            # Nothing that follows can be told from the rest of this answer.
+            self.has_bad_status = True
+            self.answer = None
+            return
+        answer.status = status
         if answer.status in (204, 304):
             self._has_framing = True
         if answer.status < 200:
--- a/damaskramp/relay/health_check.py
+++ b/damaskramp/relay/health_check.py
@@ -8,6 +8,8 @@
 
 from damaskramp.dispatch import HealthAnswer
 from damaskramp.fleet import ServerId
+from damaskramp.http import is_status
+from damaskramp.relay.answer_reader import SWITCHING_PROTOCOLS
 from damaskramp.relay.headers import HeaderNames
 
 __all__ = ["HealthCheck", "HealthCheckError", "ServerUnreachableError"]
@@ -113,7 +115,10 @@
         self._fields[name.lower()] = value.strip()
 
     def on_headers_complete(self) -> None:
-        if self._parser.get_status_code() < 200:
+        status = self._parser.get_status_code()
+        if not is_status(status) or status == SWITCHING_PROTOCOLS:
+            self._fail(f"answer with status {status}")
+        elif status < 200:
             self._fields.clear()
         elif not self.headers.done():
             self.headers.set_result(self._fields)
--- a/damaskramp/relay/messages.py
+++ b/damaskramp/relay/messages.py
@@ -10,7 +10,7 @@
 
 from damaskramp.core import Reason
 from damaskramp.core.ids import ServiceName, ZoneName
-from damaskramp.dispatch import UNKNOWN_RANK, Lineage
+from damaskramp.dispatch import UNKNOWN_RANK, Lineage, Load
 from damaskramp.fleet.model import (
     BackendServer,
     Epoch,
@@ -20,6 +20,7 @@
     ServerReport,
     StorePosition,
 )
+from damaskramp.http import is_status
 
 __all__ = [
     "FRAGMENT_BYTES",
@@ -27,6 +28,7 @@
     "REASON_CODES",
     "Call",
     "Kind",
+    "check_answer",
     "check_host",
     "check_types",
     "pack_call",
@@ -34,6 +36,7 @@
     "pack_removal",
     "pack_server",
     "unpack_document",
+    "unpack_load",
     "unpack_position",
     "unpack_removal",
     "unpack_server",
@@ -166,6 +169,15 @@
     return (number, *call[1:])
 
 
+FINAL_STATUS = 200
+"""Lowest status of an answer that ends its request."""
+
+LOAD_TYPES = frozenset({int, float, bool, list})
+"""Types of the elements of a load; the pressure is a list."""
+
+REQUIRED_LOAD = len(Load._fields) - len(Load._field_defaults)
+"""Number of elements of a load that are always sent."""
+
 SERVER_TYPES = (str, str, str, str, int, bool, float, int, int, int, int)
 """Types of the elements that describe a backend server."""
 
@@ -270,6 +282,36 @@
             raise ValueError(f"{element!r} is not of type {kind.__name__}")
 
 
+def check_answer(status: object, head: object) -> None:
+    """Check the status and the header block of an answer that a peer passes on.
+
+    Raises
+    ------
+    ValueError
+        If they are none of a final answer.
+    """
+    if type(status) is not int or status < FINAL_STATUS or not is_status(status):
+        raise ValueError(f"{status!r} is no status of a final answer")
+    if type(head) is not bytes:
+        raise ValueError("the head of an answer is not bytes")
+
+
+def unpack_load(elements: list) -> Load:
+    """Unpack the load of a backend server that a peer reports.
+
+    Raises
+    ------
+    ValueError
+        If the elements do not describe a load.
+    """
+    if not REQUIRED_LOAD <= len(elements) <= len(Load._fields):
+        raise ValueError(f"{len(elements)} elements do not describe a load")
+    for element in elements:
+        if type(element) not in LOAD_TYPES:
+            raise ValueError(f"{type(element).__name__} in a load")
+    return Load(*elements)
+
+
 def check_host(host: object) -> None:
     """Check the address by which a peer introduces itself.
 
--- a/damaskramp/relay/peer_link.py
+++ b/damaskramp/relay/peer_link.py
@@ -11,7 +11,6 @@
 from enum import Enum
 
 from damaskramp.core import Counters, Reason
-from damaskramp.dispatch import Load
 from damaskramp.http import discard_on_close
 from damaskramp.relay.body_source import BytesBody
 from damaskramp.relay.body_transfer import BodySender
@@ -19,7 +18,15 @@
 from damaskramp.relay.link_health import LinkHealth
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.message_stream import SILENCE_TIMEOUT_SECONDS, MessageStream
-from damaskramp.relay.messages import FRAGMENT_BYTES, REASONS, Call, Kind, pack_call
+from damaskramp.relay.messages import (
+    FRAGMENT_BYTES,
+    REASONS,
+    Call,
+    Kind,
+    check_answer,
+    pack_call,
+    unpack_load,
+)
 from damaskramp.relay.outcome_sink import Cancel, OutcomeSink
 
 __all__ = ["LinkState", "LoanCallback", "PeerLink"]
@@ -235,10 +242,12 @@
         """Process one message."""
         kind = message[0]
         if kind == Kind.ANSWER:
-            reply = self._calls.pop(message[1], None)
+            _, number, status, head, body, *elements = message
+            check_answer(status, head)
+            load = unpack_load(elements)
+            reply = self._calls.pop(number, None)
             if reply is not None:
-                _, _, status, head, body, *load = message
-                reply.answered(status, head, body, Load(*load))
+                reply.answered(status, head, body, load)
         elif kind == Kind.REFUSED:
             self._refuse(message)
         elif kind == Kind.FRAGMENT:
@@ -252,32 +261,37 @@
         elif kind == Kind.PONG:
             self._on_pong(self._host, message)
         elif kind == Kind.LENT:
+            lent, left = float(message[2]), float(message[3])
             done = self._loans.pop(message[1], None)
             if done is not None:
-                done(message[2], message[3])
+                done(lent, left)
 
     def _refuse(self, message: list) -> None:
-        _, number, reason, wait, arrived, *load = message
+        _, number, code, wait, arrived, *elements = message
+        reason, wait, load = REASONS[code], float(wait), unpack_load(elements)
         self._sender.cancel(number)
         reply = self._calls.pop(number, None)
         if reply is not None:
-            reply.refused(REASONS[reason], wait, arrived, Load(*load))
+            reply.refused(reason, wait, arrived, load)
 
     def _fail(self, message: list) -> None:
         """Process a failed call, or an answer that has broken off midway."""
-        _, number, reason, *load = message
+        _, number, code, *elements = message
+        reason, load = REASONS[code], unpack_load(elements)
         self._answers.fail(number)
         reply = self._calls.pop(number, None)
         if reply is not None:
-            reply.failed(REASONS[reason], Load(*load))
+            reply.failed(reason, load)
 
     def _begin_answer(self, message: list) -> None:
-        _, number, status, head, size, *load = message
+        _, number, status, head, size, *elements = message
+        check_answer(status, head)
+        load = unpack_load(elements)
         reply = self._calls.get(number)
         # The answer to a cancelled call is dropped by the other node.
         if reply is not None:
             reply.answer_started()
-            self._answers.begin(number, status, head, size, Load(*load), reply)
+            self._answers.begin(number, status, head, size, load, reply)
 
     def _forget_call(self, number: int) -> None:
         del self._calls[number]
--- a/damaskramp/relay/server_connection.py
+++ b/damaskramp/relay/server_connection.py
@@ -124,6 +124,10 @@
             if reader.complete_answer is None:
                 self._fail(ExchangeFailure.BROKEN)
                 return
+        if reader.complete_answer is None and reader.has_bad_status:
+            self._pool.counters.add("backend_bad_statuses")
+            self._fail(ExchangeFailure.BROKEN)
+            return
         if reader.complete_answer is None and reader.is_too_large:
             self._fail(ExchangeFailure.TOO_LARGE)
             return
--- a/damaskramp/relay/tests/test_health_check.py
+++ b/damaskramp/relay/tests/test_health_check.py
@@ -76,6 +76,14 @@
         ):
             self.assertRaises(HealthCheckError, self.check, data)
 
+    def test_status_that_is_none_ends_the_check_at_once(self):
+        """A status below 100 was taken for one of an informational answer."""
+        for status in (b"000 Zero", b"101 Switch", b"600 High"):
+            error = self.assertRaises(
+                HealthCheckError, self.check, [answer(status=status)]
+            )
+            self.assertIn("answer with status", str(error))
+
     def test_answer_without_end_is_not_read_for_long(self):
         data = [b"HTTP/1.1 200 OK\r\n", *[b"X: y\r\n" * 100] * 200]
         error = self.assertRaises(HealthCheckError, self.check, data)
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -117,6 +117,30 @@
         one, two, _ = self.ask_with_fault(lambda request: b"\x00\x01 nonsense\r\n\r\n")
         self.assertEqual((502, 200), (one[0], two[0]))
 
+    def test_status_that_is_none_fails_the_request_at_once(self):
+        """Guards against an answer with a status outside 100 to 599.
+
+        A request that waits until its deadline gets 504 instead. A node asks for no
+        other protocol, so 101 ends the answers on its connection as well.
+        """
+        for status in (b"000 Zero", b"099 Low", b"101 Switch", b"600 High", b"999 Top"):
+            with self.subTest(status):
+                one, two, server = self.ask_with_fault(
+                    lambda request, status=status: ok(request, status=status)
+                )
+                self.assertEqual((502, 200), (one[0], two[0]))
+                self.assertIn(b"unknown", one[2])
+                self.assertEqual((2, 2), (len(server.seen), server.connections))
+
+    def test_request_is_repeated_after_a_status_that_is_none(self):
+        async def scenario(fleet):
+            got = await fleet.ask("/a")
+            return got[0], got[2], sum(len(one.seen) for one in fleet.servers[:2])
+
+        zero = one_then_ok(lambda request: ok(request, b"zero", status=b"000 Zero"))
+        got = self.run_scenario(scenario, ("svc", "svc"), scripts=[zero, zero])
+        self.assertEqual((200, b"done", 2), got)
+
     def test_unavailable_status_without_proof_of_no_run_is_unknown(self):
         def reject_without_proof(request):
             return ok(request, status=b"503 Service Unavailable")
