One odd entry of another writer hides no other entry

Seen: with a value nested 900 deep in any of eight fields of one entry, a node followed no change of the list any more, and a node that started then was never ready. A number too large or a port out of range did no harm.

Cause: the message of the error that leaves such an entry out quotes the value with repr, which fails with RecursionError. That is not the error which is expected there, and it ended the decoding of the whole answer, again and again.

Change: messages quote values bounded in depth and length; whatever error an entry raises, it alone is left out and logged with its key. Entries without a usable address, number of slots or id are left out too. The same cause was in the reading of the configuration; descriptions from other nodes are checked for their address, and a log line no longer quotes a message of megabytes.

--- a/damaskramp/platform/decode.py
+++ b/damaskramp/platform/decode.py
@@ -33,6 +33,7 @@
     parse_number,
     parse_text,
     read_object,
+    shorten,
 )
 from damaskramp.platform.home_regions import read_home_regions
 
@@ -55,6 +56,10 @@
 parse_priority = integer_parser(0)
 """Parser of priorities; 0 is the highest."""
 
+parse_slots = integer_parser(1, 65_535)
+"""Parser of the slots of a server, which serves one request on a connection: a host has
+no more ports for its connections to one address."""
+
 MAX_PORT = 65535
 
 _VISIBLE_TEXT = re.compile(r"[!-~]+")
@@ -85,6 +90,8 @@
     DecodeError
         If a field is missing or has another type or an unknown value.
     """
+    if not name or not name.isprintable():
+        raise DecodeError(f"{shorten(name)} is no id that can be sent in a header")
     entry = read_object(value)
 
     def read_field(key: str, parse: Any, default: object = None) -> Any:
@@ -98,7 +105,7 @@
         service=ServiceName(read_field("service", parse_text)),
         address=read_field("address", _parse_address),
         zone=ZoneName(read_field("zone", parse_text)),
-        slots=read_field("slots", parse_count),
+        slots=read_field("slots", parse_slots),
         leaving=read_field("state", _parse_leaving),
         # Seconds until the warm-up of the server ends, at the time of this report.
         warmup=read_field("warmup-left", parse_duration, "0ms"),
@@ -186,7 +193,9 @@
     kind = fields.raw("kind")
     if isinstance(kind, str) and kind in IDEMPOTENT_BY_KIND:
         return IDEMPOTENT_BY_KIND[kind]
-    fields.warning("kind", f"unknown kind {kind!r}; its requests are never repeated")
+    fields.warning(
+        "kind", f"unknown kind {shorten(kind)}; its requests are never repeated"
+    )
     return False
 
 
@@ -197,7 +206,9 @@
         return (WeightedService(ServiceName(service), 1.0),) if service else None
     entries = fields.raw("weighted-services")
     if not isinstance(entries, list) or not entries:
-        fields.error("weighted-services", f"{entries!r} is not a list of services")
+        fields.error(
+            "weighted-services", f"{shorten(entries)} is not a list of services"
+        )
         return None
     targets = []
     for entry in entries:
@@ -214,7 +225,7 @@
 
 def _parse_weighted_service(entry: object) -> WeightedService:
     if not isinstance(entry, dict):
-        raise DecodeError(f"{entry!r} is not a service with its weight")
+        raise DecodeError(f"{shorten(entry)} is not a service with its weight")
     service = ServiceName(parse_text(entry.get("service")))
     return WeightedService(service, parse_number(entry.get("weight")))
 
@@ -314,44 +325,46 @@
     address = parse_text(value)
     host, _, port = address.rpartition(":")
     try:
-        ipaddress.IPv4Address(host)
+        ip = ipaddress.IPv4Address(host)
     except ValueError:
-        raise DecodeError(f"{address!r} is not IP:PORT") from None
-    if parse_digits(port) > MAX_PORT:
-        raise DecodeError(f"{address!r} has no valid port")
+        raise DecodeError(f"{shorten(address)} is not IP:PORT") from None
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise DecodeError(f"{shorten(address)} is the address of no host")
+    if not 1 <= parse_digits(port) <= MAX_PORT:
+        raise DecodeError(f"{shorten(address)} has no valid port")
     return address
 
 
 def _parse_leaving(value: object) -> bool:
     if not isinstance(value, str) or value not in LEAVING_BY_STATE:
-        raise DecodeError(f"unknown state {value!r}")
+        raise DecodeError(f"unknown state {shorten(value)}")
     return LEAVING_BY_STATE[value]
 
 
 def _parse_prefix(value: object) -> str:
     prefix = parse_text(value)
     if not prefix.startswith("/") or not prefix.endswith("/"):
-        raise DecodeError(f"{prefix!r} does not begin and end with a slash")
+        raise DecodeError(f"{shorten(prefix)} does not begin and end with a slash")
     return prefix
 
 
 def _parse_path(value: object) -> str:
     path = parse_text(value)
     if not path.startswith("/") or not _VISIBLE_TEXT.fullmatch(path):
-        raise DecodeError(f"{path!r} is not a path of visible ASCII characters")
+        raise DecodeError(f"{shorten(path)} is not a path of visible ASCII characters")
     return path
 
 
 def _parse_flag(value: object) -> bool:
     if not isinstance(value, bool):
-        raise DecodeError(f"{value!r} is not true or false")
+        raise DecodeError(f"{shorten(value)} is not true or false")
     return value
 
 
 def _parse_version(value: object) -> BundleVersion:
     # A version is "r" followed by a decimal number; versions compare by that number.
     if not isinstance(value, str) or not value.startswith("r"):
-        raise DecodeError(f"version: {value!r} is not 'r' followed by a number")
+        raise DecodeError(f"version: {shorten(value)} is not 'r' followed by a number")
     try:
         return BundleVersion(parse_digits(value[1:]))
     except DecodeError as error:
--- a/damaskramp/platform/fields.py
+++ b/damaskramp/platform/fields.py
@@ -5,6 +5,7 @@
 version of the platform has written.
 """
 
+import reprlib
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -21,6 +22,7 @@
     "parse_number",
     "parse_text",
     "read_object",
+    "shorten",
 ]
 
 FINDING_SOURCE = "configuration"
@@ -106,7 +108,7 @@
         try:
             return parse(found)
         except DecodeError as error:
-            self.warning(key, f"{error}; using {default!r} instead")
+            self.warning(key, f"{error}; using {shorten(default)} instead")
             return default
 
     def error(self, key: str, message: str) -> None:
@@ -121,6 +123,25 @@
         return f"{self._path}.{key}".strip(".")
 
 
+_SHORT_REPR = reprlib.Repr()
+_SHORT_REPR.maxlevel = 2
+_SHORT_REPR.maxstring = _SHORT_REPR.maxother = 80
+
+
+def shorten(value: object) -> str:
+    """Return a short text of a value of any depth and length, for messages.
+
+    `repr` fails for values that are nested more deeply than Python's stack, and is as
+    long as the value.
+
+    Examples
+    --------
+    >>> shorten([[[1]]]), len(shorten("x" * 1000)) < 100
+    ('[[[...]]]', True)
+    """
+    return _SHORT_REPR.repr(value)
+
+
 def read_object(document: bytes) -> dict[str, Any]:
     """Parse a document that holds a JSON object.
 
@@ -141,16 +162,20 @@
 def parse_text(value: object) -> str:
     """Check that a value is a non-empty string."""
     if not isinstance(value, str) or not value:
-        raise DecodeError(f"{value!r} is not a non-empty string")
+        raise DecodeError(f"{shorten(value)} is not a non-empty string")
     return value
 
 
-def integer_parser(minimum: int) -> Callable[[object], int]:
-    """Make a parser of integers that are at least `minimum`."""
+def integer_parser(minimum: int, maximum: int | None = None) -> Callable[[object], int]:
+    """Make a parser of integers that are at least `minimum`, and at most `maximum`."""
 
     def parse(value: object) -> int:
         if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
-            raise DecodeError(f"{value!r} is not an integer of at least {minimum}")
+            raise DecodeError(
+                f"{shorten(value)} is not an integer of at least {minimum}"
+            )
+        if maximum is not None and value > maximum:
+            raise DecodeError(f"{value} is larger than {maximum}")
         return value
 
     return parse
@@ -159,7 +184,7 @@
 def parse_number(value: object) -> float:
     """Convert a non-negative number to float."""
     if not isinstance(value, int | float) or isinstance(value, bool) or value < 0:
-        raise DecodeError(f"{value!r} is not a non-negative number")
+        raise DecodeError(f"{shorten(value)} is not a non-negative number")
     return float(value)
 
 
@@ -167,9 +192,11 @@
     """Parse a duration with the unit ms or s into seconds."""
     found = parse_seconds(value)
     if found is None:
-        raise DecodeError(f"{value!r} is not a duration in ms or s")
+        raise DecodeError(f"{shorten(value)} is not a duration in ms or s")
     if found > MAX_DURATION_SECONDS:
-        raise DecodeError(f"{value!r} is longer than {MAX_DURATION_SECONDS:.0f} s")
+        raise DecodeError(
+            f"{shorten(value)} is longer than {MAX_DURATION_SECONDS:.0f} s"
+        )
     return found
 
 
--- a/damaskramp/platform/home_regions.py
+++ b/damaskramp/platform/home_regions.py
@@ -1,7 +1,7 @@
 """Home regions of routes and teams."""
 
 from damaskramp.fleet.model import RegionName
-from damaskramp.platform.fields import Fields
+from damaskramp.platform.fields import Fields, shorten
 
 __all__ = ["read_home_regions"]
 
@@ -18,7 +18,9 @@
     names = published if isinstance(published, list) else []
     regions = [name for name in names if isinstance(name, str) and name]
     if not regions:
-        fields.error("allowed-regions", f"{published!r} is not a list of regions")
+        fields.error(
+            "allowed-regions", f"{shorten(published)} is not a list of regions"
+        )
         return None
     if len(regions) < len(names):
         fields.warning("allowed-regions", "only the readable regions are allowed")
--- a/damaskramp/platform/store.py
+++ b/damaskramp/platform/store.py
@@ -222,9 +222,10 @@
         """Decode the configuration of an entry; None and the reason on failure."""
         try:
             return self._decode_document(_decode_value(item)), ""
-        except DecodeError as error:
+        except Exception as error:
+            # Whatever a writer has left here, the rest of the answer is used.
             self._record_unreadable(CONFIGURATION_KEY, error)
-            return None, str(error)
+            return None, _reason(error)
 
     def _decode_document(self, document: bytes) -> FleetConfiguration:
         """Decode a configuration, or return the last one if the document is the same.
@@ -243,14 +244,15 @@
         try:
             name = key[len(SERVERS_PREFIX) :]
             return decode_server(name, _decode_value(item), item["revision"], epoch)
-        except DecodeError as error:
+        except Exception as error:
+            # One entry of another writer must not hide the others.
             self._record_unreadable(key, error)
             return None
 
-    def _record_unreadable(self, key: str, error: DecodeError) -> None:
+    def _record_unreadable(self, key: str, error: Exception) -> None:
         self._counters.add("store_entries_unreadable")
         LOGGER.warning(
-            "store entry can't be read", extra={"key": key, "reason": str(error)}
+            "store entry can't be read", extra={"key": key, "reason": _reason(error)}
         )
 
     async def _call(
@@ -303,6 +305,11 @@
         return self._epoch
 
 
+def _reason(error: Exception) -> str:
+    """Why an entry can't be read; an error that was not expected with its type."""
+    return str(error) if isinstance(error, DecodeError) else repr(error)
+
+
 def _check_epoch(epoch: Epoch, position: StorePosition) -> None:
     """Raise `RevisionExpiredError` if an answer has another epoch than a position."""
     if epoch != position.epoch:
--- a/damaskramp/platform/tests/test_decode.py
+++ b/damaskramp/platform/tests/test_decode.py
@@ -67,6 +67,25 @@
 )
 
 
+def paths_of(value, path=()):
+    """Yield the path of each value in a document."""
+    items = value.items() if isinstance(value, dict) else enumerate(value)
+    for key, inner in items:
+        yield (*path, key)
+        if isinstance(inner, dict | list):
+            yield from paths_of(inner, (*path, key))
+
+
+def insert(document, path, text):
+    """Encode a document with a text of JSON in the place of one value."""
+    changed = copy.deepcopy(document)
+    place = changed
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = "inserted"
+    return orjson.dumps(changed).replace(b'"inserted"', text.encode())
+
+
 def read(**changes):
     """Decode the document above with some of its sections replaced."""
     return decode_configuration(orjson.dumps({**CONFIG, **changes}))
@@ -224,6 +243,39 @@
             entry = orjson.dumps({**ENTRY, "address": address})
             self.assertRaises(DecodeError, decode_server, "i", entry, 1)
 
+    def test_deeply_nested_values_are_rejected_with_a_short_message(self):
+        """Guards against errors of the message itself, which quotes the value.
+
+        Such an error was no DecodeError, and one entry hid all others.
+        """
+        for nested in ("[" * 900 + "]" * 900, '{"a":' * 900 + "1" + "}" * 900):
+            for name in ENTRY.keys() - {"version"}:
+                document = insert(ENTRY, (name,), nested)
+                error = self.assertRaises(DecodeError, decode_server, "i", document, 1)
+                self.assertLess(len(str(error)), 300)
+            for path in paths_of(CONFIG):
+                document = insert(CONFIG, path, nested)
+                if path == ("version",):
+                    self.assertRaises(DecodeError, decode_configuration, document)
+                    continue
+                for finding in decode_configuration(document).findings:
+                    self.assertLess(len(str(finding)), 300)
+
+    def test_entries_that_name_no_host_or_id_are_rejected(self):
+        for field, value in (
+            ("address", "10.0.0.1:0"),
+            ("address", "0.0.0.0:80"),
+            ("address", "224.0.0.1:80"),
+            ("address", "255.255.255.255:80"),
+            ("slots", 65_536),
+            ("slots", 2**64 - 1),
+            ("slots", 1e300),
+        ):
+            entry = orjson.dumps({**ENTRY, field: value})
+            self.assertRaises(DecodeError, decode_server, "i", entry, 1)
+        for name in ("", "i\r\nX-Tenant: b", "i\x00"):
+            self.assertRaises(DecodeError, decode_server, name, orjson.dumps(ENTRY), 1)
+
     def test_unreadable_bounds_of_a_route_get_the_safest_value(self):
         broken = {**ROUTE, "max-attempts": "2", "priority": None, "public": 1}
         broken |= {"timeout": 5, "target-latency": []}
--- a/damaskramp/relay/message_stream.py
+++ b/damaskramp/relay/message_stream.py
@@ -34,6 +34,9 @@
 FREE_PARTIAL_BYTES = 80 * 1024
 """Unprocessed bytes that need no reservation: those of a fragment and more."""
 
+MAX_LOGGED_CHARACTERS = 300
+"""Length of a logged reason, which may quote a message."""
+
 MAX_GATHERED = 256
 """Number of messages that are gathered for one write. Each costs some 70 bytes more
 than it holds until it is written."""
@@ -109,7 +112,8 @@
 
     def _drop_unreadable(self, error: Exception) -> None:
         # Bad data from a peer may break this link, but nothing else.
-        LOGGER.warning("unreadable message", extra={"reason": repr(error)})
+        reason = repr(error)[:MAX_LOGGED_CHARACTERS]
+        LOGGER.warning("unreadable message", extra={"reason": reason})
         if self._transport is not None:
             self._transport.abort()
 
--- a/damaskramp/relay/messages.py
+++ b/damaskramp/relay/messages.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import reprlib
 import zlib
 from typing import NamedTuple
 
@@ -218,6 +219,7 @@
     """
     check_types(elements, SERVER_TYPES, "a backend server")
     name, service, address, zone, *state, revision, report_number, epoch = elements
+    check_host(address.rpartition(":")[0])
     return BackendServer(
         ServerId(name),
         ServiceName(service),
@@ -276,10 +278,11 @@
         If the elements are not a list of these types.
     """
     if not isinstance(elements, list) or len(elements) != len(types):
-        raise ValueError(f"{elements!r} does not describe {meaning}")
+        raise ValueError(f"{reprlib.repr(elements)} does not describe {meaning}")
     for element, kind in zip(elements, types, strict=True):
         if type(element) is not kind:
-            raise ValueError(f"{element!r} is not of type {kind.__name__}")
+            found = reprlib.repr(element)
+            raise ValueError(f"{found} is not of type {kind.__name__}")
 
 
 def check_answer(status: object, head: object) -> None:
@@ -321,7 +324,7 @@
         If the address is not an IP address.
     """
     if not isinstance(host, str):
-        raise ValueError(f"{host!r} is not an IP address")
+        raise ValueError(f"{reprlib.repr(host)} is not an IP address")
     ipaddress.ip_address(host)
 
 
