Whitespace after the value of a field is no part of it

Cause: the parser hands on the whitespace that follows a value. A length with it was no number and became 0, which is compared with no limit; an id with it was not the one that the server echoes.

Change: values lose trailing whitespace where the parser hands them over, in requests and answers; a length that is no number makes the request invalid. Health checks, store and readiness remove it already.

--- a/damaskramp/relay/answer_reader.py
+++ b/damaskramp/relay/answer_reader.py
@@ -12,7 +12,7 @@
 from damaskramp.core import Counters
 from damaskramp.http import is_status
 from damaskramp.relay.answer_intake import AnswerIntake, append_chunk
-from damaskramp.relay.headers import ReservedNames
+from damaskramp.relay.headers import OPTIONAL_WHITESPACE, ReservedNames
 from damaskramp.relay.memory_queue import MemoryQueue
 from damaskramp.relay.messages import FRAGMENT_BYTES
 from damaskramp.relay.server_answer import ServerAnswer
@@ -181,7 +181,7 @@
         if len(answer.headers) > MAX_FIELDS:
             # The answer fails once the parser returns.
             return
-        lower = name.lower()
+        lower, value = name.lower(), value.rstrip(OPTIONAL_WHITESPACE)
         answer.headers.append((lower, name, value))
         names = self._names
         if lower == names.request_id:
--- a/damaskramp/relay/caller_reader.py
+++ b/damaskramp/relay/caller_reader.py
@@ -14,7 +14,7 @@
 from damaskramp.relay.caller_context import CallerContext
 from damaskramp.relay.caller_memory import BodyMemory, BodyWaiter
 from damaskramp.relay.caller_request import AnswerSink, CallerRequest
-from damaskramp.relay.headers import names_fields
+from damaskramp.relay.headers import OPTIONAL_WHITESPACE, names_fields
 from damaskramp.relay.read_size import next_read_bytes
 from damaskramp.relay.request_charges import RequestCharges
 
@@ -192,7 +192,7 @@
             # Trailers are dropped: they must not replace fields of the head.
             return
         request, names = self.request, self._names
-        lower = name.lower()
+        lower, value = name.lower(), value.rstrip(OPTIONAL_WHITESPACE)
         request.head_bytes += len(name) + len(value)
         if lower not in names.dropped_from_request:
             request.fields += b"%b: %b\r\n" % (name, value)
@@ -212,7 +212,10 @@
             request.key, request.has_key = value, True
         elif lower == b"content-length":
             # The parser rejects a value that is not a number.
-            request.length = int(value) if value.isdigit() else 0
+            if value.isdigit():
+                request.length = int(value)
+            else:
+                request.error_status = 400
         elif lower == b"transfer-encoding":
             request.length = None
         elif lower == b"connection":
--- a/damaskramp/relay/headers.py
+++ b/damaskramp/relay/headers.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "HOP_BY_HOP",
+    "OPTIONAL_WHITESPACE",
     "Field",
     "HeaderNames",
     "ReservedNames",
@@ -16,6 +17,10 @@
 Field = tuple[bytes, bytes, bytes]
 """Lower-case name, name as sent, value."""
 
+OPTIONAL_WHITESPACE = b" \t"
+"""Bytes that may surround the value of a field and are no part of it (RFC 9110, section
+5.5); the parser leaves those that follow it."""
+
 NON_FIELD_OPTIONS = frozenset({b"close", b"keep-alive"})
 """Values of the Connection field that name no other header field."""
 
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -40,6 +40,43 @@
         self.assertNotIn(b"forged", seen)
         self.assertNotIn(b"key-1", seen)
 
+    def test_whitespace_after_values_is_no_part_of_them(self):
+        """Guards against requests that are not found, or whose answers are not theirs."""
+
+        def script(request):
+            return ok(request).replace(b"\r\nContent", b" \t\r\nContent")
+
+        async def scenario(fleet):
+            reader, writer = await fleet.connect()
+            writer.write(
+                b"POST /once/a HTTP/1.1\r\nHost: a.example \r\nX-Request-Id: q1\t\r\n"
+                b"X-Timeout-Ms: 1500 \r\nAuthorization: Token key-1 \t\r\n"
+                b"Content-Length: 4 \r\n\r\ntext"
+            )
+            status, head, body = await read_answer(reader)
+            return status, field(head, "x-request-id"), body, fleet.servers[0].seen
+
+        *got, seen = self.run_scenario(scenario, scripts=[script])
+        self.assertEqual([200, "q1", b"done"], got)
+        self.assertEqual(1, len(seen))
+        self.assertIn(b"X-Request-Id: q1\r\n", seen[0])
+        self.assertTrue(seen[0].endswith(b"\r\n\r\ntext"))
+        self.assertLessEqual(int(field(seen[0], "x-timeout-ms")), 1500)
+
+    def test_length_with_whitespace_after_it_is_bounded(self):
+        """Guards against a body over the limit that is read without a bound."""
+
+        async def scenario(fleet):
+            reader, writer = await fleet.connect()
+            writer.write(
+                b"POST /a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q1\r\n"
+                b"Authorization: Token key-1\r\nContent-Length: 600000000 \r\n\r\n"
+            )
+            writer.write(b"x" * 200_000)
+            return (await read_answer(reader))[0]
+
+        self.assertEqual(413, self.run_scenario(scenario))
+
     def test_request_is_forwarded_to_the_node_of_its_service(self):
         async def scenario(fleet):
             got = await fleet.ask("/a", n=0)
