Handed-on answers of a silent server end at the deadline

Cause: once the head of an answer is handed on, the deadline binds nobody. The entry node's timer is cancelled, and the node beside the server ends overdue calls only until they have an outcome.

Change: after the deadline the node beside the server breaks off a handed-on answer of which nothing arrives for 0.25 s although there is room. Its taker is told. Answers that go on, or wait for a slow caller, are delivered as before.

--- a/damaskramp/relay/execution.py
+++ b/damaskramp/relay/execution.py
@@ -38,10 +38,6 @@
 
 __all__ = ["Executor"]
 
-OVERDUE_GRACE_SECONDS = 0.25
-"""Time after the deadline of a run, in seconds, at which this node abandons the run if
-neither the server's own deadline nor a cancellation has ended it."""
-
 EARLY_REFUSAL_SECONDS = 0.06
 """Margin, in seconds, by which a waiting call is refused before it is too late to run
 it. The margin covers one interval between sweeps and the way back, so that the caller
@@ -271,8 +267,7 @@
             wait = self.queue.estimated_retry_wait(work.is_call, work.priority)
             work.run.refuse(Reason.OVERLOADED, wait, False)
         for run in list(self._runs):
-            if now > run.work.deadline + OVERDUE_GRACE_SECONDS:
-                run.time_out()
+            run.check_overdue(now)
         self._connections.sweep()
 
     def close(self) -> None:
--- a/damaskramp/relay/server_run.py
+++ b/damaskramp/relay/server_run.py
@@ -5,7 +5,7 @@
 
 from damaskramp.core import Reason
 from damaskramp.dispatch import UNKNOWN_RANK, StartedRequest, Work
-from damaskramp.relay.body_source import discard_body
+from damaskramp.relay.body_source import BodySource, discard_body
 from damaskramp.relay.messages import Call
 from damaskramp.relay.outcome_sink import OutcomeSink
 from damaskramp.relay.server_answer import Exchange, ExchangeFailure, ServerAnswer
@@ -16,6 +16,11 @@
 
 __all__ = ["Run", "RunWork"]
 
+OVERDUE_GRACE_SECONDS = 0.25
+"""Time after the deadline of a run, in seconds, at which this node abandons the run if
+neither the server's own deadline nor a cancellation has ended it, or for which nothing
+of an answer that has been handed on may arrive."""
+
 MIN_RUN_SECONDS = 0.005
 """Remaining time, in seconds, below which no server could answer."""
 
@@ -34,8 +39,10 @@
 
     __slots__ = (
         "_abandon",
+        "_arriving_body",
         "_executor",
         "_good",
+        "_progress",
         "_reply",
         "call",
         "started_request",
@@ -50,6 +57,8 @@
         self._reply: OutcomeSink | None = reply
         self._abandon: Callable[[], None] | None = None
         self._good: bool | None = None
+        self._arriving_body: BodySource | None = None
+        self._progress = (0, 0.0)
         self.started_request: StartedRequest | None = None
         self.work = RunWork(self, call, now)
         if executor.chain_control:
@@ -116,10 +125,37 @@
 
     def drop_references(self) -> None:
         """Break reference cycles, so that bodies need no garbage collection."""
-        self._abandon = None
+        self._abandon = self._arriving_body = None
         self.work.run = None
 
-    def time_out(self) -> None:
+    def check_overdue(self, now: float) -> None:
+        """End the call if its deadline has passed and nothing of it moves any more.
+
+        An answer that has been handed on is still delivered while its bytes arrive, or
+        wait for its taker.
+        """
+        if now <= self.work.deadline:
+            return
+        body = self._arriving_body
+        if body is None:
+            if now > self.work.deadline + OVERDUE_GRACE_SECONDS:
+                self._time_out()
+            return
+        received, since = self._progress
+        if received != body.received or not body.may_read:
+            self._progress = (body.received, now)
+        elif now - since > OVERDUE_GRACE_SECONDS:
+            self._break_off()
+
+    def _break_off(self) -> None:
+        """Break off an answer that has been handed on; its taker is told."""
+        executor = self._executor
+        executor.counters.add("server_answers_silent")
+        self._log("answer broken off", "silent")
+        self._abandon()
+        executor.finish_run(self, good=False)
+
+    def _time_out(self) -> None:
         """End the call because its deadline has passed."""
         reply = self._reply
         sent = not self.cancel()
@@ -173,6 +209,8 @@
         body = answer.body
         if type(body) is bytes or body.is_complete:
             executor.finish_run(self, self._good)
+        else:
+            self._arriving_body = body
         if call.fingerprint:
             now = executor.clock()
             executor.fleet_view.suspects.record_answer(call.fingerprint, now)
