Requests of callers have a bounded number of fields

Cause: a field costs the parser some microseconds however short it is. Bytes of a head and requests in a turn of the loop were bounded, fields were not.

Change: 128 fields at most; the next one ends the parser's step at once, 431.

--- a/damaskramp/relay/caller_reader.py
+++ b/damaskramp/relay/caller_reader.py
@@ -27,6 +27,10 @@
 """Largest body, in bytes, that draws on the share of small bodies, so that small
 requests never wait behind large ones."""
 
+MAX_FIELDS = 128
+"""Most header fields of a request, several times as many as clients send. Each takes
+microseconds to parse, however short it is: as many as fit into a head took 6 ms."""
+
 MAX_CHUNK_OVERHEAD = 8
 """Bytes of chunk lines and trailers for each byte of a body, beyond the size of a head:
 chunks of one byte have 5."""
@@ -92,6 +96,7 @@
         self._head_bytes = 0
         self._body_wire_bytes = 0
         self._wire_bytes_at_part = 0
+        self._fields = 0
         self._awaited_bytes = 0
         self._awaits_small = False
         self._next_mark = 0
@@ -131,7 +136,7 @@
         except httptools.HttpParserUpgrade:
             raise
         except httptools.HttpParserError:
-            return ReadStatus.BAD_REQUEST
+            return self._early_status or ReadStatus.BAD_REQUEST
         request = self.request
         if request is None:
             return ReadStatus.OK
@@ -181,13 +186,24 @@
         request = self.request = CallerRequest(self._sink)
         self.progressed_at = request.started = self._context.clock()
         self.head_done = False
+        self._fields = 0
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
         self.request.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field, and evaluate those that the relay uses."""
+        """Store a header field, and evaluate those that the relay uses.
+
+        Raises
+        ------
+        ValueError
+            If there are too many, which ends the parser's step at once.
+        """
+        self._fields += 1
+        if self._fields > MAX_FIELDS:
+            self._early_status = ReadStatus.HEAD_TOO_LARGE
+            raise ValueError("too many fields")
         if self.head_done:
             # Trailers are dropped: they must not replace fields of the head.
             return
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -13,6 +13,9 @@
     route,
 )
 
+LONG_HEADS = configuration(1, [route("svc", "/")], CLUBS)
+LONG_HEADS["limits"]["max-header-bytes"] = 16384
+
 
 class TestRequests(RelayTestCase):
     def test_server_receives_the_request_with_added_fields(self):
@@ -63,6 +66,24 @@
         self.assertTrue(seen[0].endswith(b"\r\n\r\ntext"))
         self.assertLessEqual(int(field(seen[0], "x-timeout-ms")), 1500)
 
+    def test_requests_of_very_many_fields_are_refused(self):
+        """Guards against crowds of them, which starved ordinary callers.
+
+        A request of a few short fields more than the parser takes costs no more to
+        refuse than to read so far.
+        """
+
+        async def scenario(fleet):
+            got = []
+            for count in (100, 1000):
+                fields = "".join(f"a{n}:\r\n" for n in range(count))
+                status, head, _ = await fleet.ask("/a", extra=fields)
+                got.append((status, field(head, "connection")))
+            return got, len(fleet.servers[0].seen)
+
+        got = self.run_scenario(scenario, config=LONG_HEADS)
+        self.assertEqual(([(200, None), (431, "close")], 1), got)
+
     def test_length_with_whitespace_after_it_is_bounded(self):
         """Guards against a body over the limit that is read without a bound."""
 
