Links: a read may end within the head of the message after a large one

Callers saw: all calls on a link ended as lost (502, or 503 for those not yet sent) although both nodes and the network were sound.

Cause: after a message that has grown the buffer, the buffer is replaced once nothing is left in it. What is left was taken from the unpacker's position, which counts the first bytes of an incomplete message as unpacked: with 3 bytes of the next fragment's head, 278,621 of 278,621 bytes. These were lost, and the rest of the head was read as messages, which drops the link.

Change: what is left is counted from the end of the last complete message.

Test: test_read_may_end_anywhere_in_a_message_after_a_large_one; before, the messages after the large one were lost.

--- a/damaskramp/relay/message_stream.py
+++ b/damaskramp/relay/message_stream.py
@@ -69,7 +69,7 @@
         self._is_held_back = False
         self._partial_memory = partial_memory
         self._partial_reserved = 0
-        self._fed = 0
+        self._fed = self._handed_on = 0
         self._pending = 0
         self._has_grown = False
         self._written = 0
@@ -104,6 +104,7 @@
                 message = next(self._unpacker, None)
                 if message is None:
                     break
+                self._handed_on = self._unpacker.tell()
                 self.received(message)
             if self._unpacker is not None:
                 self._reserve_partial()
@@ -133,9 +134,10 @@
 
     def _reserve_partial(self) -> None:
         """Reserve memory for an incomplete message, or drop the link without room."""
-        pending = self._pending = self._fed - self._unpacker.tell()
+        # The unpacker counts the first bytes of an incomplete message as unpacked.
+        pending = self._pending = self._fed - self._handed_on
         if self._has_grown and not pending:
-            self._unpacker, self._fed = _new_unpacker(), 0
+            self._unpacker, self._fed, self._handed_on = _new_unpacker(), 0, 0
             self._has_grown = False
         needed = BUFFER_FACTOR * pending if pending > FREE_PARTIAL_BYTES else 0
         if needed == self._partial_reserved:
--- a/damaskramp/relay/tests/test_message_stream.py
+++ b/damaskramp/relay/tests/test_message_stream.py
@@ -55,6 +55,20 @@
         use()
         self.assertLess(self.allocated(use), links * MAX_STREAM_BYTES)
 
+    def test_read_may_end_anywhere_in_a_message_after_a_large_one(self):
+        """Guards against links that are dropped, with all their calls.
+
+        The buffer is replaced after a large message, and with it went the first bytes
+        of the next one.
+        """
+        large = msgpack.packb([1, b"x" * 2 * BUFFER_BYTES])
+        small = msgpack.packb([14, b"y" * 100_000])
+        for size in (*range(1, 12), 1000):
+            stream = RecordingStream()
+            stream.data_received(large + small[:size])
+            stream.data_received(small[size:] + msgpack.packb([1, b"z"]))
+            self.assertEqual([2 * BUFFER_BYTES, 100_000, 1], stream.lengths, size)
+
     def test_buffer_of_a_large_message_is_dropped_after_it(self):
         """Each link that has carried a body or a document would keep a large buffer."""
         data = msgpack.packb([1, b"x" * 2048 * KIB])
