--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -27,6 +28,7 @@
 HOST = "a.example"
 HEARTBEAT_SECONDS = 1.5
 LAPSE_SECONDS = 3 * HEARTBEAT_SECONDS
+NODE_DESCRIPTORS = 4100
 NODE_TEMPLATE = {
     "zones": {"z-0": "r", "z-1": "r", "z-2": "r"},
     "bounds": {
@@ -421,7 +423,12 @@
         )
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
-                run, cwd=ROOT, env=environment, stdout=log, stderr=log
+                run,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=_limit_descriptors,
             )
 
     def send(self, number):
@@ -447,6 +454,21 @@
         return answer.status == 200
 
 
+def _limit_descriptors():
+    """Give a node the descriptors that it has on the users' machines."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    limit = min(NODE_DESCRIPTORS, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
+
+
+def raise_descriptors(needed):
+    """Raise the soft limit of this process; raise RuntimeError if it is too low."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    if hard < needed:
+        raise RuntimeError(f"{needed} descriptors are needed, {hard} are allowed")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
+
+
 class Answer:
     """Answer of a node, or of a server."""
 
