--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,93 +1,92 @@
-"""A few clients with long paths to no route, and ordinary requests beside them."""
+"""A request that crashes each server that runs it comes again, with little traffic."""
 
 import asyncio
+import random
 import sys
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import stand_ins_3 as stand_ins
 
-CROWD = 40
-PATH = "/" * 15_000
-ORDINARY = 24
-ORDINARY_SECONDS = 0.25
-ORDINARY_TIMEOUT_MS = 5000
-ROUTE_TIMEOUT_SECONDS = 3.0
-GRACE_SECONDS = 0.5
+POISON = "/svc/report?id=17"
+SERVERS = 6
+RETRIES = 18
+RETRY_SECONDS = 1.5
+DOWN_SECONDS = 3.0
+BACKGROUND_PER_SECOND = 0.1
+STABLE_WINDOW_SECONDS = 3.0
+MAX_LATE_RETRIES = 3
 KEY = "key-1"
 
 
-async def send_long_paths(fleet, counts):
-    """Send one request with a long path after the other, each after an answer."""
-    while True:
-        try:
-            reader, writer = await asyncio.open_connection(
-                fleet.nodes[0].host, fleet.ports[0]
-            )
-            while True:
-                writer.write(stand_ins.head_of(PATH, "GET", None, 15_000))
-                first, fields = await stand_ins.read_head(reader)
-                await reader.readexactly(int(fields.get("content-length", 0)))
-                counts[first.split()[1]] += 1
-        except (OSError, EOFError) as error:
-            counts[type(error).__name__] += 1
-            await asyncio.sleep(0.1)
+def work_of(fleet, server, crashes):
+    """Return the work of a server, which crashes while it runs the request."""
+
+    def work(path):
+        fleet.record.write("run", server.name, path)
+        if path != POISON or not stand_ins.trouble():
+            return 0.05, 16
+        crashes.append(stand_ins.now())
+        fleet.record.write("crash", len(crashes), server.name)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, server.crash, DOWN_SECONDS)
+        return 1.0, 16
+
+    return work
 
 
-async def send_ordinary(fleet, results):
-    """Send one request as ordinary clients do, and record when it is answered."""
-    request_id, started = stand_ins.new_id(), stand_ins.now()
-    fleet.record.write("sent", request_id)
+async def send(fleet, node, path, request_id):
+    """Send one request and record its answer."""
+    fleet.record.write("sent", request_id, path, "at", node.host)
     try:
         answer = await stand_ins.request(
-            fleet.nodes[0].host,
-            fleet.ports[0],
-            "/svc/a",
-            "GET",
-            KEY,
-            ORDINARY_TIMEOUT_MS,
-            request_id,
-            timeout=ORDINARY_TIMEOUT_MS / 1000 + 1,
+            node.host, fleet.ports[0], path, "GET", KEY, 3000, request_id, timeout=4.0
         )
         status = answer.status
     except (OSError, EOFError, TimeoutError) as error:
-        status = type(error).__name__
-    took = stand_ins.now() - started
-    results.append((took, status))
-    fleet.record.write("answered", request_id, status, f"after {took:.3f} s")
+        status = repr(error)
+    fleet.record.write("answered", request_id, status)
+
+
+async def send_background(fleet):
+    """Send other requests now and then, each with a path of its own."""
+    while True:
+        await asyncio.sleep(random.expovariate(BACKGROUND_PER_SECOND))
+        request_id = stand_ins.new_id()
+        node = random.choice(fleet.nodes)
+        await send(fleet, node, f"/svc/page?id={request_id}", request_id)
 
 
 async def case(fleet):
-    """Return whether ordinary requests are answered by their route's timeout."""
+    """Return whether at most three late retries reached servers."""
     await fleet.start(
-        ["svc"] * 3,
-        {"r-1": stand_ins.route("svc", "/svc/", timeout="3s")},
+        ["svc"] * SERVERS,
+        {"r-1": stand_ins.route("svc", "/svc/")},
         {"t-1": {"api-keys": [KEY], "rate-per-s": 0, "burst": 0}},
     )
-    counts, crowd = Counter(), []
-    if stand_ins.trouble():
-        crowd = [
-            asyncio.create_task(send_long_paths(fleet, counts)) for _ in range(CROWD)
-        ]
-    await asyncio.sleep(2.0)
-    results, requests = [], []
-    for _ in range(ORDINARY):
-        requests.append(asyncio.create_task(send_ordinary(fleet, results)))
-        await asyncio.sleep(ORDINARY_SECONDS)
-    await asyncio.gather(*requests)
-    ready = await fleet.nodes[0].is_ready()
-    for task in crowd:
-        task.cancel()
-    outcomes = dict(Counter(str(status) for _, status in results))
-    open_at_timeout = [r for r in results if r[0] > ROUTE_TIMEOUT_SECONDS]
-    late = [r for r in results if r[0] > ROUTE_TIMEOUT_SECONDS + GRACE_SECONDS]
+    crashes, sent_at = [], {}
+    for server in fleet.servers:
+        server.work = work_of(fleet, server, crashes)
+    background = asyncio.create_task(send_background(fleet))
+    await asyncio.sleep(STABLE_WINDOW_SECONDS)
+    for number in range(RETRIES):
+        request_id = stand_ins.new_id()
+        sent_at[request_id] = stand_ins.now()
+        await send(fleet, fleet.nodes[number % SERVERS], POISON, request_id)
+        await asyncio.sleep(RETRY_SECONDS)
+    background.cancel()
+    reached = {run.request_id for server in fleet.servers for run in server.runs}
+    bound = float("inf")
+    if len(crashes) >= 3:
+        bound = crashes[2] + STABLE_WINDOW_SECONDS
+    late = [name for name, at in sent_at.items() if at > bound]
+    late_reached = [name for name in late if name in reached]
     fleet.record.say(
-        f"{ORDINARY} ordinary requests got {outcomes}; {len(open_at_timeout)} were",
-        f"unanswered at the route's timeout, {len(late)} of them also 0.5 s later;",
-        f"the clients with long paths got {dict(counts)}; ready afterwards: {ready}",
+        f"{len(crashes)} crashes; of {len(late)} retries sent more than 3 s after the",
+        f"third one, {len(late_reached)} reached servers;",
+        f"{MAX_LATE_RETRIES} are allowed",
     )
-    return 2 * len(late) <= len(open_at_timeout)
+    return len(late_reached) <= MAX_LATE_RETRIES
 
 
 if __name__ == "__main__":
