--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -1,7 +1,8 @@
 """Stand-ins of the scripts in `review/11` to `review/15`: platform, servers, clients.
 
 Everything of a script but the project's own programs runs in one process on one event
-loop. The stand-ins follow the users' pages; only the standard library is used.
+loop. The stand-ins follow the users' pages; only the standard library is used. With
+`KEEP=FOLDER` in the environment, settings and logs of the nodes are copied there.
 """
 
 import asyncio
